Serve statements on the users' platform

The new crate wasabiyard-gateway holds sessions, pools, rates, the view lease and failover behind typed edges; platform/ translates the line protocol, the object store and the documents.

--- /dev/null
+++ b/crates/gateway/src/control/failover.rs
@@ -0,0 +1,132 @@
+//! When a primary is replaced, and by which server.
+
+use crate::{BackendServer, Directory, PrimaryRecord, Role, ServerStatus};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_model::{InstanceId, LogPoint, Term, Time};
+
+/// How long a primary that is no longer listed may still be used. Entries lapse while the store is away.
+const UNLISTED_GRACE: Duration = Duration::from_millis(2_500);
+/// Reports of unreachable servers older than this are ignored.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
+/// One part in this many instances must report a primary before it is replaced.
+const REPORTING_PART: usize = 4;
+
+/// Why a primary is replaced.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MoveReason {
+    /// It is about to stop or its failure domain is taken out of service.
+    Leaving,
+    /// It does not answer, or is gone.
+    Lost,
+    /// Another server leads already.
+    Adopt(Arc<str>),
+}
+
+/// Which instances cannot reach which servers.
+#[derive(Debug, Clone, Default)]
+pub struct Reports {
+    unreachable: HashMap<InstanceId, (Time, Vec<Arc<str>>)>,
+    unlisted_since: HashMap<Arc<str>, Time>,
+}
+
+impl Reports {
+    /// Takes over what an instance says.
+    pub fn on_report(&mut self, from: InstanceId, servers: Vec<Arc<str>>, now: Time) {
+        self.unreachable.insert(from, (now, servers));
+    }
+
+    /// Number of instances that cannot reach a server.
+    pub fn count(&self, server: &str, now: Time) -> usize {
+        self.unreachable
+            .values()
+            .filter(|(at, servers)| {
+                now.saturating_since(*at) < REPORT_LIFETIME && servers.iter().any(|s| **s == *server)
+            })
+            .count()
+    }
+
+    /// Records which of the recorded primaries are listed.
+    pub fn on_listed(&mut self, directory: &Directory, now: Time) {
+        let serving = directory.primaries.values().filter_map(PrimaryRecord::serving);
+        let missing: Vec<_> = serving
+            .filter(|id| !directory.servers.contains_key(*id))
+            .map(Arc::clone)
+            .collect();
+        self.unlisted_since.retain(|id, _| missing.contains(id));
+        for id in missing {
+            self.unlisted_since.entry(id).or_insert(now);
+        }
+    }
+
+    fn is_gone(&self, server: &str, now: Time) -> bool {
+        self.unlisted_since
+            .get(server)
+            .is_some_and(|since| now.saturating_since(*since) > UNLISTED_GRACE)
+    }
+}
+
+/// Whether and why the primary of a service should be replaced.
+pub fn needs_move(service: &str, directory: &Directory, reports: &Reports, now: Time) -> Option<MoveReason> {
+    let primary = directory.primaries.get(service)?.serving()?;
+    let listed = directory.servers.get(primary);
+    let mut others = directory
+        .servers
+        .values()
+        .filter(|s| *s.service == *service && s.id != *primary);
+    if listed.is_some_and(|s| s.role == Role::Replica)
+        && let Some(other) = others.find(|s| s.role == Role::Primary)
+    {
+        return Some(MoveReason::Adopt(Arc::clone(&other.id)));
+    }
+    if !has_candidate(service, primary, directory) {
+        return None;
+    }
+    if listed.is_some_and(|s| !directory.takes_new_work(s)) {
+        return Some(MoveReason::Leaving);
+    }
+    let needed = (directory.fleet_size() / REPORTING_PART).max(1);
+    let lost = reports.count(primary, now) >= needed || reports.is_gone(primary, now);
+    lost.then_some(MoveReason::Lost)
+}
+
+fn has_candidate(service: &str, primary: &str, directory: &Directory) -> bool {
+    candidates(service, primary, directory).next().is_some()
+}
+
+/// Servers that may take over from `from`.
+pub fn candidates<'a>(
+    service: &'a str,
+    from: &'a str,
+    directory: &'a Directory,
+) -> impl Iterator<Item = &'a Arc<BackendServer>> {
+    directory
+        .servers
+        .values()
+        .filter(move |s| *s.service == *service && *s.id != *from && directory.takes_new_work(s))
+}
+
+/// What a candidate said of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CandidateStatus {
+    /// Its id.
+    pub server: Arc<str>,
+    /// Its answer.
+    pub status: ServerStatus,
+}
+
+/// The candidate that has received most, so that a promotion drops as little as possible. Ties go to the smaller id,
+/// so that another holder of the duty chooses the same.
+pub fn choose_candidate(statuses: &[CandidateStatus]) -> Option<&CandidateStatus> {
+    statuses
+        .iter()
+        .max_by(|a, b| (a.status.received, &b.server).cmp(&(b.status.received, &a.server)))
+}
+
+/// Newest term and log point that any of the servers has.
+pub fn newest(statuses: &[CandidateStatus]) -> (Term, LogPoint) {
+    let term = statuses.iter().map(|s| s.status.term).max();
+    let point = statuses.iter().map(|s| s.status.received).max();
+    (term.unwrap_or_default(), point.unwrap_or_default())
+}
--- /dev/null
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -0,0 +1,376 @@
+//! The steps by which the holder of the duty replaces a primary.
+//!
+//! Each step starts from the record in the store, so that another holder can go on after any of them.
+
+use super::control::Control;
+use super::failover::{CandidateStatus, MoveReason, candidates, choose_candidate, needs_move, newest};
+use super::records;
+use crate::directory::VIEW_LEASE;
+use crate::{
+    Connected, Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, PromotionAnswer, PromotionOrder,
+    Promoter, Role, ServerConnection, ServerStatus, Target, clock,
+};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_platform::{Expect, Platform, PlatformError};
+
+/// Period of looking at the primaries.
+const WATCH_PERIOD: Duration = Duration::from_millis(100);
+/// Period of asking whether a step has taken effect.
+const STEP_PERIOD: Duration = Duration::from_millis(40);
+/// Longest time for one question to a server.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Added to the view lease before an instance that did not answer counts as stopped.
+const LEASE_MARGIN: Duration = Duration::from_millis(250);
+/// Longest wait for replicas to receive what a primary that is leaving has.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// Longest wait for a promotion before it is ordered again.
+const PROMOTION_WAIT: Duration = Duration::from_millis(2_500);
+/// Organisation under which status connections are opened.
+const STATUS_ORGANISATION: &str = "wasabiyard";
+
+impl<P, D, M, C> Control<P, D, M, C>
+where
+    P: Platform + 'static,
+    D: Discovery + 'static,
+    M: Promoter + 'static,
+    C: Connector + 'static,
+{
+    /// Looks at all primaries while this instance holds the duty.
+    pub(super) async fn watch_primaries(self: Rc<Self>, executor: Rc<LocalExecutor<'static>>) {
+        loop {
+            Timer::after(WATCH_PERIOD).await;
+            if self.fence().is_none() {
+                continue;
+            }
+            self.remove_silent_instances().await;
+            for service in self.services() {
+                if !self.state.borrow_mut().moving.insert(Arc::clone(&service)) {
+                    continue;
+                }
+                let control = Rc::clone(&self);
+                let task = async move {
+                    if let Err(e) = control.step(&service).await {
+                        log::info!(service:% = service, error:% = e; "a change of primary is held up");
+                        Timer::after(WATCH_PERIOD * 2).await;
+                    }
+                    control.state.borrow_mut().moving.remove(&service);
+                };
+                executor.spawn(task).detach();
+            }
+        }
+    }
+
+    fn fence(&self) -> Option<u64> {
+        let me = &self.settings.instance;
+        let state = self.state.borrow();
+        state.duty.fence(me.id.as_str(), me.incarnation, clock::now())
+    }
+
+    fn services(&self) -> Vec<Arc<str>> {
+        let state = self.state.borrow();
+        let directory = &state.directory;
+        let mut services: Vec<_> = directory
+            .servers
+            .values()
+            .map(|s| Arc::clone(&s.service))
+            .chain(directory.primaries.keys().map(Arc::clone))
+            .collect();
+        services.sort();
+        services.dedup();
+        services
+    }
+
+    /// Takes the next step for one service, if one is due.
+    async fn step(&self, service: &Arc<str>) -> Result<(), PlatformError> {
+        let record = self.state.borrow().directory.primaries.get(service).cloned();
+        let Some(record) = record else {
+            return self.adopt_first(service).await;
+        };
+        match record.leadership.clone() {
+            Leadership::Serving { primary } => self.consider(service, &record, primary).await,
+            Leadership::Moving { from } => self.finish_move(service, &record, from).await,
+            Leadership::Promoting { from, candidate } => {
+                self.finish_promotion(service, &record, from, candidate).await
+            }
+        }
+    }
+
+    /// Records the primary of a service that has no record yet.
+    async fn adopt_first(&self, service: &Arc<str>) -> Result<(), PlatformError> {
+        let primary = {
+            let state = self.state.borrow();
+            let mut primaries = state
+                .directory
+                .servers
+                .values()
+                .filter(|s| s.service == *service && s.role == Role::Primary);
+            match (primaries.next(), primaries.next()) {
+                (Some(only), None) => Arc::clone(&only.id),
+                _ => return Ok(()),
+            }
+        };
+        self.record(service, PrimaryRecord::first(primary)).await
+    }
+
+    async fn consider(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        primary: Arc<str>,
+    ) -> Result<(), PlatformError> {
+        let now = clock::now();
+        let reason = {
+            let state = self.state.borrow();
+            needs_move(service, &state.directory, &state.reports, now)
+        };
+        match reason {
+            None => Ok(()),
+            Some(MoveReason::Adopt(other)) => {
+                let next = record.followed_by(Leadership::Serving { primary: other });
+                self.record(service, next).await
+            }
+            Some(reason) => {
+                log::info!(service:% = service, primary:% = primary, reason:? = reason; "primary is replaced");
+                let next = record.followed_by(Leadership::Moving { from: primary });
+                self.record(service, next).await?;
+                let record = self.state.borrow().directory.primaries.get(service).cloned();
+                match record {
+                    Some(record) => match record.leadership.clone() {
+                        Leadership::Moving { from } => self.finish_move(service, &record, from).await,
+                        _ => Ok(()),
+                    },
+                    None => Ok(()),
+                }
+            }
+        }
+    }
+
+    /// Waits until nobody uses the old primary, then chooses and records its successor.
+    async fn finish_move(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        from: Arc<str>,
+    ) -> Result<(), PlatformError> {
+        self.wait_released(service, record, &from).await;
+        let old = self.depose(service, &from).await;
+        let Some(candidate) = self.await_candidate(service, &from, old).await else {
+            log::info!(service:% = service; "no server can take over");
+            return Ok(());
+        };
+        let next = record.followed_by(Leadership::Promoting {
+            from: Arc::clone(&from),
+            candidate: Arc::clone(&candidate),
+        });
+        self.record(service, next.clone()).await?;
+        self.finish_promotion(service, &next, from, candidate).await
+    }
+
+    /// Waits until every registered instance has said that it does not use the old primary, or cannot use it any more
+    /// because its view lease has ended.
+    async fn wait_released(&self, service: &Arc<str>, record: &PrimaryRecord, from: &Arc<str>) {
+        let started = clock::now();
+        let end = started + VIEW_LEASE + LEASE_MARGIN;
+        loop {
+            let waiting = self.unreleased(service, record.epoch);
+            if waiting == 0 {
+                break;
+            }
+            if clock::now() >= end {
+                log::info!(service:% = service, waiting; "view leases have ended");
+                break;
+            }
+            self.tell(service, record);
+            Timer::after(STEP_PERIOD).await;
+        }
+        let took_ms = clock::now().saturating_since(started).as_millis() as u64;
+        log::info!(service:% = service, server:% = from, took_ms; "old primary is not used any more");
+    }
+
+    fn unreleased(&self, service: &Arc<str>, epoch: u64) -> usize {
+        let state = self.state.borrow();
+        let members = state.directory.members.iter();
+        members
+            .filter(|m| {
+                let key = (m.id.clone(), Arc::clone(service));
+                state.released.get(&key).is_none_or(|e| *e < epoch)
+            })
+            .count()
+    }
+
+    fn tell(&self, service: &Arc<str>, record: &PrimaryRecord) {
+        let message = PeerMessage::Recorded {
+            service: Arc::clone(service),
+            record: record.clone(),
+        };
+        // A full queue only delays the news, which is told again.
+        drop(self.wiring.broadcast.try_send(message));
+    }
+
+    /// Makes the old primary refuse writes, if it can be reached. Returns its log point.
+    async fn depose(&self, service: &Arc<str>, from: &Arc<str>) -> Option<LogPoint> {
+        let status = self.ask(service, from, Question::Status).await?;
+        if !status.primary {
+            return Some(status.received);
+        }
+        let status = self.ask(service, from, Question::Depose(status)).await?;
+        log::info!(service:% = service, server:% = from, primary = status.primary; "old primary was told to step down");
+        Some(status.received)
+    }
+
+    /// The server that shall take over. Waits a moment for one that has all that the old primary had.
+    async fn await_candidate(
+        &self,
+        service: &Arc<str>,
+        from: &Arc<str>,
+        old: Option<LogPoint>,
+    ) -> Option<Arc<str>> {
+        let end = clock::now() + CATCH_UP;
+        loop {
+            let statuses = self.statuses(service, from).await;
+            let best = choose_candidate(&statuses);
+            let (term, point) = newest(&statuses);
+            let complete = old.is_none_or(|old| point >= old);
+            if let Some(best) = best
+                && (complete || clock::now() >= end)
+            {
+                log::info!(
+                    service:% = service, candidate:% = best.server, term:% = term, complete;
+                    "successor chosen"
+                );
+                return Some(Arc::clone(&best.server));
+            }
+            if clock::now() >= end {
+                return None;
+            }
+            Timer::after(STEP_PERIOD / 2).await;
+        }
+    }
+
+    async fn statuses(&self, service: &Arc<str>, from: &Arc<str>) -> Vec<CandidateStatus> {
+        let ids: Vec<_> = {
+            let state = self.state.borrow();
+            candidates(service, from, &state.directory)
+                .map(|s| Arc::clone(&s.id))
+                .collect()
+        };
+        let mut statuses = Vec::new();
+        for server in ids {
+            if let Some(status) = self.ask(service, &server, Question::Status).await {
+                statuses.push(CandidateStatus { server, status });
+            }
+        }
+        statuses
+    }
+
+    /// Orders the promotion, waits until the successor leads, and records it.
+    async fn finish_promotion(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        from: Arc<str>,
+        candidate: Arc<str>,
+    ) -> Result<(), PlatformError> {
+        let Some(fence) = self.fence() else {
+            return Ok(());
+        };
+        let answer = self
+            .promoter
+            .promote(PromotionOrder {
+                service,
+                candidate: &candidate,
+                holder: self.settings.instance.id.as_str(),
+                fence,
+            })
+            .await;
+        log::info!(service:% = service, candidate:% = candidate, fence, answer:? = answer; "promotion ordered");
+        if answer == PromotionAnswer::Refused {
+            let next = record.followed_by(Leadership::Moving { from });
+            return self.record(service, next).await;
+        }
+        if !self.await_lead(service, &candidate, clock::now() + PROMOTION_WAIT).await {
+            return Ok(());
+        }
+        let next = record.followed_by(Leadership::Serving { primary: candidate });
+        self.record(service, next).await
+    }
+
+    async fn await_lead(&self, service: &Arc<str>, candidate: &Arc<str>, end: Time) -> bool {
+        while clock::now() < end {
+            Timer::after(STEP_PERIOD).await;
+            let status = self.ask(service, candidate, Question::Status).await;
+            if status.is_some_and(|s| s.primary) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Writes a record on the condition that the one it follows is in force, and tells the other instances.
+    async fn record(&self, service: &Arc<str>, next: PrimaryRecord) -> Result<(), PlatformError> {
+        let version = self.state.borrow().versions.get(service).copied();
+        let expect = version.map_or(Expect::Absent, Expect::Version);
+        let value = serde_json::json!(next);
+        let version = self
+            .platform
+            .put(&records::primary_key(service), expect, &value)
+            .await?;
+        {
+            let mut state = self.state.borrow_mut();
+            state.versions.insert(Arc::clone(service), version);
+            state.adopt(Arc::clone(service), next.clone());
+        }
+        self.publish();
+        self.tell(service, &next);
+        Ok(())
+    }
+
+    async fn ask(&self, service: &Arc<str>, server: &Arc<str>, question: Question) -> Option<ServerStatus> {
+        let target = {
+            let state = self.state.borrow();
+            let server = state.directory.servers.get(server)?;
+            Target {
+                service: Arc::clone(service),
+                organisation: Arc::from(STATUS_ORGANISATION),
+                server: Arc::clone(&server.id),
+                address: server.address,
+            }
+        };
+        let asked = async {
+            match self.connector.connect(&target).await {
+                Ok(Connected::Open(mut conn, _)) => {
+                    let answer = match question {
+                        Question::Status => conn.status().await,
+                        Question::Depose(status) => conn.depose(status.term.next()).await,
+                    };
+                    answer
+                        .inspect_err(|e| log::debug!(server:% = server, error:% = e; "no status"))
+                        .ok()
+                        .flatten()
+                }
+                Ok(_) => None,
+                Err(e) => {
+                    log::debug!(server:% = server, error:% = e; "no status");
+                    None
+                }
+            }
+        };
+        let expired = async {
+            Timer::after(ASK_TIMEOUT).await;
+            None
+        };
+        asked.or(expired).await
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Question {
+    Status,
+    Depose(ServerStatus),
+}
--- /dev/null
+++ b/crates/gateway/src/event_log.rs
@@ -0,0 +1,78 @@
+//! Log lines of decisions, with a bounded volume.
+
+use crate::{CallerError, clock};
+use std::cell::Cell;
+use std::time::Duration;
+use wasabiyard_model::Time;
+
+/// Lines about requests that one thread writes in a second.
+const LINES_PER_SECOND: u32 = 40;
+
+thread_local! {
+    static BUDGET: Cell<Budget> = const { Cell::new(Budget { second: Time::ZERO, lines: 0, left_out: 0 }) };
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Budget {
+    second: Time,
+    lines: u32,
+    left_out: u64,
+}
+
+/// A statement that was not served.
+#[derive(Debug, Clone, Copy)]
+pub struct Refused<'a> {
+    /// The caller's id of the statement.
+    pub request: &'a str,
+    /// Its organisation.
+    pub organisation: &'a str,
+    /// Name of the route.
+    pub database: &'a str,
+    /// Class of the error.
+    pub error: CallerError,
+    /// The error's text.
+    pub detail: &'a str,
+    /// Time from the request to its answer.
+    pub took: Duration,
+}
+
+/// Writes a line about a statement that was not served, or counts it as left out.
+pub fn refused(event: &Refused<'_>) {
+    if !may_write(clock::now()) {
+        return;
+    }
+    log::info!(
+        request = event.request,
+        organisation = event.organisation,
+        database = event.database,
+        error = event.error.name(),
+        detail = event.detail,
+        took_ms = event.took.as_millis() as u64;
+        "statement not served"
+    );
+}
+
+/// Whether one more line may be written in this second.
+pub fn may_write(now: Time) -> bool {
+    BUDGET.with(|budget| {
+        let mut b = budget.get();
+        if now.saturating_since(b.second) >= Duration::from_secs(1) {
+            if b.left_out > 0 {
+                log::info!(lines = b.left_out; "log lines about requests were left out");
+            }
+            b = Budget {
+                second: now,
+                lines: 0,
+                left_out: 0,
+            };
+        }
+        let allowed = b.lines < LINES_PER_SECOND;
+        if allowed {
+            b.lines += 1;
+        } else {
+            b.left_out += 1;
+        }
+        budget.set(b);
+        allowed
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/peer/mod.rs
@@ -0,0 +1,7 @@
+//! Messages between instances: datagrams, because each of them is repeated and none has to arrive.
+
+mod message;
+mod peer_socket;
+
+pub use message::{Envelope, PeerMessage, SealError};
+pub use peer_socket::PeerSocket;
--- /dev/null
+++ b/crates/gateway/src/traffic/mod.rs
@@ -0,0 +1,16 @@
+//! The traffic thread: callers' sessions and the connections to backend servers.
+
+mod admission_gate;
+mod lease;
+mod placement;
+mod pool;
+mod requirement;
+mod server_pool;
+mod service_pool;
+mod session;
+mod transaction;
+
+pub use placement::{Candidate, ReplicaLag, choose};
+pub use pool::{Pool, PoolError, PoolSettings};
+pub use requirement::{Need, required_point};
+pub use session::{Session, SessionContext, SessionSettings};
--- /dev/null
+++ b/crates/gateway/src/traffic/pool.rs
@@ -0,0 +1,623 @@
+//! All connections to backend servers, and who gets the next one.
+
+use super::lease::Lease;
+use super::requirement::Need;
+use super::service_pool::{Grant, Granted, Lane, ServicePool, Waiter};
+use crate::profile::{Profile, SessionValues};
+use crate::{Connected, Connector, Directory, PrimaryView, Target, clock};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_model::{Class, LogPoint, NotRun, Time};
+use wasabiyard_schedule::Waiting;
+
+/// Longest time for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Idle connections are closed after this time.
+const IDLE_TIME: Duration = Duration::from_secs(20);
+/// How long transactions on a primary that is being replaced may still end.
+const RELEASE_GRACE: Duration = Duration::from_millis(120);
+/// Usual time from the moment a primary stops taking work until its successor takes it.
+const USUAL_MOVE: Duration = Duration::from_millis(1_100);
+
+/// Settings of the pool.
+#[derive(Debug, Clone)]
+pub struct PoolSettings {
+    /// Failure domain of this instance.
+    pub domain: Arc<str>,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// Why there is no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PoolError {
+    /// The wait would pass the deadline.
+    Overloaded {
+        /// When it is worth coming back.
+        retry_after: Duration,
+    },
+    /// The deadline passed in the queue.
+    Deadline,
+    /// The primary is unknown, is not proved, or does not answer.
+    NoPrimary {
+        /// When it is worth coming back.
+        retry_after: Duration,
+    },
+    /// The service has no backend server that takes work.
+    NoServer,
+}
+
+/// A request for a connection.
+#[derive(Debug, Clone)]
+pub(super) struct Ask<'a> {
+    pub(super) service: &'a Arc<str>,
+    pub(super) organisation: &'a Arc<str>,
+    pub(super) class: Class,
+    pub(super) need: Need,
+    pub(super) values: &'a Rc<SessionValues>,
+    pub(super) deadline: Time,
+}
+
+type Reply<C> = Result<Lease<C>, PoolError>;
+type Services<C> = HashMap<Arc<str>, ServicePool<<C as Connector>::Connection, Reply<C>>>;
+
+/// The pool of an instance.
+pub struct Pool<C>
+where
+    C: Connector + 'static,
+{
+    connector: C,
+    settings: PoolSettings,
+    executor: Rc<LocalExecutor<'static>>,
+    directory: RefCell<Arc<Directory>>,
+    services: RefCell<Services<C>>,
+    rng: RefCell<SmallRng>,
+    /// Newest epoch of each service below which no primary is used any more.
+    released: RefCell<HashMap<Arc<str>, u64>>,
+    /// Releases that the control thread and the peers have not been told.
+    newly_released: RefCell<Vec<(Arc<str>, u64)>>,
+}
+
+impl<C> std::fmt::Debug for Pool<C>
+where
+    C: Connector + 'static,
+{
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Pool").finish_non_exhaustive()
+    }
+}
+
+impl<C> Pool<C>
+where
+    C: Connector + 'static,
+{
+    /// An empty pool.
+    pub fn new(
+        connector: C,
+        settings: PoolSettings,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
+        let rng = RefCell::new(SmallRng::seed_from_u64(settings.seed));
+        Rc::new(Self {
+            connector,
+            settings,
+            executor,
+            directory: RefCell::default(),
+            services: RefCell::default(),
+            rng,
+            released: RefCell::default(),
+            newly_released: RefCell::default(),
+        })
+    }
+
+    /// The directory in force.
+    pub fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.directory.borrow())
+    }
+
+    /// Takes over a new directory.
+    pub fn update(self: &Rc<Self>, directory: Arc<Directory>, now: Time) {
+        *self.directory.borrow_mut() = Arc::clone(&directory);
+        let mut names: Vec<Arc<str>> = directory.primaries.keys().map(Arc::clone).collect();
+        names.extend(directory.servers.values().map(|s| Arc::clone(&s.service)));
+        names.extend(self.services.borrow().keys().map(Arc::clone));
+        names.sort();
+        names.dedup();
+        for service in &names {
+            self.services
+                .borrow_mut()
+                .entry(Arc::clone(service))
+                .or_insert_with(ServicePool::new)
+                .update(service, &directory, now);
+            self.update_primary(service, &directory, now);
+            self.dispatch(service, now);
+        }
+    }
+
+    /// Ends what has waited too long, and use of primaries that are not proved any more.
+    pub fn tick(self: &Rc<Self>, now: Time) {
+        let directory = self.directory();
+        let names: Vec<_> = self.services.borrow().keys().map(Arc::clone).collect();
+        for service in &names {
+            self.update_primary(service, &directory, now);
+            self.dispatch(service, now);
+            self.close_idle(service, now);
+        }
+    }
+
+    /// Ids of servers that do not answer this instance.
+    pub fn unreachable(&self, now: Time) -> Vec<Arc<str>> {
+        let services = self.services.borrow();
+        let servers = services.values().flat_map(|s| s.servers.values());
+        servers
+            .filter(|s| s.is_unreachable(now))
+            .map(|s| Arc::clone(&s.server.id))
+            .collect()
+    }
+
+    /// The point that a read must see so that it misses nothing older than `age`. `None` when no sample proves it.
+    pub fn point_for(&self, service: &str, age: Duration, now: Time) -> Option<LogPoint> {
+        let services = self.services.borrow();
+        services.get(service)?.samples.point_for(age, now)
+    }
+
+    /// Leases a connection.
+    ///
+    /// # Errors
+    ///
+    /// See [`PoolError`]; nothing was sent to a backend server for this request.
+    pub(super) async fn acquire(self: &Rc<Self>, ask: &Ask<'_>) -> Reply<C> {
+        let now = clock::now();
+        let (tx, rx) = async_channel::bounded(1);
+        let waiter = Waiter {
+            organisation: Arc::clone(ask.organisation),
+            need: ask.need,
+            values: Rc::clone(ask.values),
+            reply: tx,
+        };
+        self.enqueue(ask, waiter, now)?;
+        self.dispatch(ask.service, now);
+        let wait = ask.deadline.saturating_since(now) + Duration::from_millis(5);
+        let expired = async {
+            Timer::after(wait).await;
+            Err(PoolError::Deadline)
+        };
+        let served = async { rx.recv().await.unwrap_or(Err(PoolError::Deadline)) };
+        served.or(expired).await
+    }
+
+    fn enqueue(&self, ask: &Ask<'_>, waiter: Waiter<Reply<C>>, now: Time) -> Result<(), PoolError> {
+        let mut services = self.services.borrow_mut();
+        let pool = services.get_mut(ask.service).ok_or(PoolError::NoServer)?;
+        let lane = pool.lane(ask.need, now);
+        if lane == Lane::Primary {
+            check_primary(pool, ask.deadline, now)?;
+        }
+        let ahead = pool.queue(lane).ahead(ask.organisation, 1, ask.class);
+        let connections = pool.connections(lane);
+        if pool.queue(lane).len() > 0 {
+            let admission = pool.admission(lane);
+            let retry_after = admission.estimated_wait(ahead, connections, now);
+            admission
+                .admit(ahead, connections, ask.deadline, now)
+                .map_err(|_full| PoolError::Overloaded { retry_after })?;
+        }
+        let waiting = Waiting {
+            organisation: Arc::clone(ask.organisation),
+            weight: 1,
+            class: ask.class,
+            deadline: ask.deadline,
+        };
+        pool.queue(lane)
+            .push(waiting, waiter, now)
+            .map(drop)
+            .map_err(|(_, e)| refusal(e))
+    }
+
+    /// Serves as many waiters as can start now.
+    fn dispatch(self: &Rc<Self>, service: &Arc<str>, now: Time) {
+        self.end_expired(service, now);
+        loop {
+            let granted = {
+                let mut services = self.services.borrow_mut();
+                let Some(pool) = services.get_mut(service) else {
+                    return;
+                };
+                pool.next_grant(&self.settings.domain, now, &mut *self.rng.borrow_mut())
+            };
+            let Some(granted) = granted else {
+                return;
+            };
+            self.serve(service, granted, now);
+        }
+    }
+
+    fn end_expired(&self, service: &Arc<str>, now: Time) {
+        let mut ended = Vec::new();
+        if let Some(pool) = self.services.borrow_mut().get_mut(service) {
+            for lane in [Lane::Primary, Lane::Reads] {
+                ended.extend(pool.queue(lane).take_ended(now));
+            }
+        }
+        for (waiter, e) in ended {
+            // A waiter that has gone needs no answer.
+            drop(waiter.reply.try_send(Err(refusal(e))));
+        }
+    }
+
+    fn serve(self: &Rc<Self>, service: &Arc<str>, granted: Granted<C::Connection, Reply<C>>, now: Time) {
+        let Granted {
+            waiting,
+            waiter,
+            server,
+            grant,
+        } = granted;
+        match grant {
+            Grant::Idle(idle) => {
+                let lease = self.lease(service, &server, &waiter.organisation, idle.conn, idle.profile, now);
+                self.hand_over(service, waiter, lease);
+            }
+            Grant::Connect => {
+                let pool = Rc::clone(self);
+                let service = Arc::clone(service);
+                let task = async move { pool.connect(service, server, waiting, waiter).await };
+                self.executor.spawn(task).detach();
+            }
+        }
+    }
+
+    fn hand_over(self: &Rc<Self>, service: &Arc<str>, waiter: Waiter<Reply<C>>, lease: Option<Lease<C>>) {
+        match lease {
+            // Dropping a lease whose waiter has gone returns the connection.
+            Some(lease) => drop(waiter.reply.try_send(Ok(lease))),
+            None => {
+                log::debug!(service:% = service; "a server went away while it was chosen");
+                drop(waiter.reply.try_send(Err(PoolError::NoServer)));
+            }
+        }
+    }
+
+    async fn connect(
+        self: Rc<Self>,
+        service: Arc<str>,
+        server: Arc<str>,
+        waiting: Waiting,
+        waiter: Waiter<Reply<C>>,
+    ) {
+        let started = clock::now();
+        let Some(target) = self.target(&service, &server, &waiter.organisation) else {
+            drop(waiter.reply.try_send(Err(PoolError::NoServer)));
+            return;
+        };
+        let connecting = async { Some(self.connector.connect(&target).await) };
+        let expired = async {
+            Timer::after(CONNECT_TIMEOUT).await;
+            None
+        };
+        let connected = connecting.or(expired).await;
+        let now = clock::now();
+        match connected {
+            Some(Ok(Connected::Open(conn, point))) => {
+                self.on_heard(&service, &server, point, now);
+                let profile = Profile::default();
+                let lease = self.lease(&service, &server, &waiter.organisation, conn, profile, now);
+                self.hand_over(&service, waiter, lease);
+                return;
+            }
+            Some(Ok(Connected::Full)) => self.with_server(&service, &server, |s| s.on_full(now)),
+            Some(Ok(Connected::WrongServer | Connected::Refused)) | None => {
+                self.with_server(&service, &server, |s| s.on_failure(started, now));
+            }
+            Some(Err(e)) => {
+                log::debug!(server:% = server, error:% = e; "cannot connect to a backend server");
+                self.with_server(&service, &server, |s| s.on_failure(started, now));
+            }
+        }
+        self.with_server(&service, &server, |s| s.busy = s.busy.saturating_sub(1));
+        self.queue_again(&service, waiting, waiter, now);
+        self.dispatch(&service, now);
+    }
+
+    /// A statement whose connection could not be opened waits again, under its old deadline.
+    fn queue_again(&self, service: &Arc<str>, waiting: Waiting, waiter: Waiter<Reply<C>>, now: Time) {
+        let mut services = self.services.borrow_mut();
+        let Some(pool) = services.get_mut(service) else {
+            drop(waiter.reply.try_send(Err(PoolError::NoServer)));
+            return;
+        };
+        let lane = pool.lane(waiter.need, now);
+        if lane == Lane::Primary
+            && let Err(e) = check_primary(pool, waiting.deadline, now)
+        {
+            drop(waiter.reply.try_send(Err(e)));
+            return;
+        }
+        if let Err((waiter, e)) = pool.queue(lane).push(waiting, waiter, now) {
+            drop(waiter.reply.try_send(Err(refusal(e))));
+        }
+    }
+
+    fn target(&self, service: &Arc<str>, server: &str, organisation: &Arc<str>) -> Option<Target> {
+        let services = self.services.borrow();
+        let pool = services.get(service)?.servers.get(server)?;
+        Some(Target {
+            service: Arc::clone(service),
+            organisation: Arc::clone(organisation),
+            server: Arc::clone(&pool.server.id),
+            address: pool.server.address,
+        })
+    }
+
+    fn lease(
+        self: &Rc<Self>,
+        service: &Arc<str>,
+        server: &Arc<str>,
+        organisation: &Arc<str>,
+        conn: C::Connection,
+        profile: Profile,
+        now: Time,
+    ) -> Option<Lease<C>> {
+        let services = self.services.borrow();
+        let pool = services.get(service)?;
+        let epoch = pool
+            .usable_primary()
+            .filter(|(p, _)| *p == server)
+            .map(|(_, epoch)| epoch);
+        Some(Lease {
+            pool: Rc::clone(self),
+            service: Arc::clone(service),
+            server: Arc::clone(server),
+            organisation: Arc::clone(organisation),
+            epoch,
+            revoked: pool.servers.get(server)?.revocation(),
+            conn: Some(conn),
+            profile,
+            started: now,
+            in_transaction: false,
+        })
+    }
+
+    /// Takes a connection back, or counts it as closed when `conn` is `None`.
+    pub(super) fn release(self: &Rc<Self>, lease: &mut Lease<C>, now: Time) {
+        let conn = lease.conn.take().filter(|_| !lease.in_transaction);
+        let profile = std::mem::take(&mut lease.profile);
+        if let Some(pool) = self.services.borrow_mut().get_mut(&lease.service) {
+            let lane = if lease.epoch.is_some() {
+                Lane::Primary
+            } else {
+                Lane::Reads
+            };
+            pool.admission(lane)
+                .on_served(now.saturating_since(lease.started), now);
+            if let Some(server) = pool.servers.get_mut(&lease.server) {
+                server.busy = server.busy.saturating_sub(1);
+                let stale = lease.revoked.is_closed() || server.server.draining;
+                if let Some(conn) = conn.filter(|_| !stale) {
+                    server.idle.push(super::server_pool::IdleConnection {
+                        conn,
+                        organisation: Arc::clone(&lease.organisation),
+                        profile,
+                        since: now,
+                    });
+                }
+            }
+        }
+        let service = Arc::clone(&lease.service);
+        self.dispatch(&service, now);
+    }
+
+    pub(super) fn on_heard(&self, service: &str, server: &str, point: Option<LogPoint>, now: Time) {
+        self.with_server(service, server, |s| s.on_heard(point, now));
+    }
+
+    /// Records an answer to a statement that was sent at `asked`.
+    pub(super) fn on_answer(&self, lease: &Lease<C>, asked: Time, point: Option<LogPoint>, now: Time) {
+        let mut services = self.services.borrow_mut();
+        let Some(pool) = services.get_mut(&lease.service) else {
+            return;
+        };
+        let leads = lease.epoch.is_some() && pool.usable_primary().map(|(_, e)| e) == lease.epoch;
+        if let Some(point) = point
+            && leads
+        {
+            pool.on_primary_point(asked, point);
+        }
+        if let Some(server) = pool.servers.get_mut(&lease.server) {
+            server.on_answer(now.saturating_since(asked), point, now);
+        }
+    }
+
+    /// A replica refused or served `point`.
+    pub(super) fn on_replica_point(&self, lease: &Lease<C>, point: LogPoint, served: bool, now: Time) {
+        let mut services = self.services.borrow_mut();
+        let Some(pool) = services.get_mut(&lease.service) else {
+            return;
+        };
+        let Some(reached) = pool.samples.reached(point) else {
+            return;
+        };
+        let age = now.saturating_since(reached);
+        if let Some(server) = pool.servers.get_mut(&lease.server) {
+            if served {
+                server.lag.on_served(age);
+            } else {
+                server.lag.on_refused(age);
+            }
+        }
+    }
+
+    pub(super) fn on_failure(&self, service: &str, server: &str, started: Time, now: Time) {
+        self.with_server(service, server, |s| s.on_failure(started, now));
+    }
+
+    /// Smoothed time of a statement at a server.
+    pub(super) fn latency(&self, lease: &Lease<C>) -> Duration {
+        let services = self.services.borrow();
+        let server = services
+            .get(&lease.service)
+            .and_then(|p| p.servers.get(&lease.server));
+        server.map_or(Duration::ZERO, |s| s.latency)
+    }
+
+    /// Whether a lease of a primary is of the epoch that is in force now.
+    pub(super) fn still_leads(&self, lease: &Lease<C>, now: Time) -> bool {
+        let Some(epoch) = lease.epoch else {
+            return false;
+        };
+        match self.directory.borrow().primary(&lease.service, now) {
+            PrimaryView::Usable { epoch: current, .. } => current == epoch,
+            PrimaryView::Moving | PrimaryView::Unproved | PrimaryView::Unknown => false,
+        }
+    }
+
+    /// Whether the service has a primary that answers.
+    pub(super) fn primary_is_usable(&self, service: &str, now: Time) -> bool {
+        let services = self.services.borrow();
+        services.get(service).is_some_and(|p| p.primary_answers(now))
+    }
+
+    fn with_server<F>(&self, service: &str, server: &str, f: F)
+    where
+        F: FnOnce(&mut super::server_pool::ServerPool<C::Connection>),
+    {
+        let mut services = self.services.borrow_mut();
+        if let Some(server) = services
+            .get_mut(service)
+            .and_then(|p| p.servers.get_mut(server))
+        {
+            f(server);
+        }
+    }
+
+    fn update_primary(self: &Rc<Self>, service: &Arc<str>, directory: &Directory, now: Time) {
+        let view = directory.primary(service, now);
+        let unproved = view == PrimaryView::Unproved;
+        let epoch = directory.primaries.get(service).map_or(0, |r| r.epoch);
+        let deposed = {
+            let mut services = self.services.borrow_mut();
+            let Some(pool) = services.get_mut(service) else {
+                return;
+            };
+            pool.set_primary(view.clone(), now)
+        };
+        match deposed {
+            Some(server) => {
+                log::info!(service:% = service, server:% = server, epoch, unproved; "primary no longer used");
+                let grace = if unproved { Duration::ZERO } else { RELEASE_GRACE };
+                let pool = Rc::clone(self);
+                let service = Arc::clone(service);
+                let task = async move {
+                    Timer::after(grace).await;
+                    pool.end_use(&service, &server, epoch);
+                };
+                self.executor.spawn(task).detach();
+            }
+            None if view == PrimaryView::Moving => {
+                let unused = {
+                    let services = self.services.borrow();
+                    let pool = services.get(service);
+                    pool.is_some_and(|p| {
+                        p.moving_since
+                            .is_some_and(|since| now.saturating_since(since) > RELEASE_GRACE * 2)
+                    })
+                };
+                if unused {
+                    self.on_released(service, epoch);
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// Closes all connections to a server that may not be used as the primary any more, then says so.
+    fn end_use(self: &Rc<Self>, service: &Arc<str>, server: &Arc<str>, epoch: u64) {
+        self.with_server(service, server, super::server_pool::ServerPool::revoke);
+        let pool = Rc::clone(self);
+        let service = Arc::clone(service);
+        let task = async move {
+            // The tasks that use these connections run once before the release is told.
+            futures_lite::future::yield_now().await;
+            Timer::after(Duration::from_millis(5)).await;
+            pool.on_released(&service, epoch);
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    fn on_released(&self, service: &Arc<str>, epoch: u64) {
+        let mut released = self.released.borrow_mut();
+        let known = released.entry(Arc::clone(service)).or_default();
+        if *known < epoch {
+            *known = epoch;
+            self.newly_released
+                .borrow_mut()
+                .push((Arc::clone(service), epoch));
+        }
+    }
+
+    /// Releases since the last call.
+    pub fn take_released(&self) -> Vec<(Arc<str>, u64)> {
+        std::mem::take(&mut self.newly_released.borrow_mut())
+    }
+
+    /// Releases for changes of primary that are still under way.
+    pub fn released(&self, now: Time) -> Vec<(Arc<str>, u64)> {
+        let directory = self.directory();
+        let released = self.released.borrow();
+        let under_way = released
+            .iter()
+            .filter(|(service, _)| directory.primary(service, now) == PrimaryView::Moving);
+        under_way.map(|(s, e)| (Arc::clone(s), *e)).collect()
+    }
+
+    fn close_idle(&self, service: &str, now: Time) {
+        let mut services = self.services.borrow_mut();
+        let Some(pool) = services.get_mut(service) else {
+            return;
+        };
+        for server in pool.servers.values_mut() {
+            server
+                .idle
+                .retain(|c| now.saturating_since(c.since) < IDLE_TIME);
+        }
+    }
+}
+
+/// Refuses at once what cannot be served before its deadline.
+fn check_primary<C, R>(pool: &ServicePool<C, R>, deadline: Time, now: Time) -> Result<(), PoolError> {
+    let expected = match &pool.primary {
+        PrimaryView::Usable { .. } if pool.primary_answers(now) => return Ok(()),
+        PrimaryView::Usable { .. } => USUAL_MOVE * 2,
+        PrimaryView::Moving => {
+            let since = pool.moving_since.unwrap_or(now);
+            USUAL_MOVE.saturating_sub(now.saturating_since(since))
+        }
+        PrimaryView::Unproved | PrimaryView::Unknown => {
+            return Err(PoolError::NoPrimary {
+                retry_after: Duration::from_secs(1),
+            });
+        }
+    };
+    if now + expected >= deadline {
+        return Err(PoolError::NoPrimary {
+            retry_after: expected,
+        });
+    }
+    Ok(())
+}
+
+const fn refusal(e: NotRun) -> PoolError {
+    match e {
+        NotRun::Deadline => PoolError::Deadline,
+        _ => PoolError::Overloaded {
+            retry_after: Duration::from_millis(200),
+        },
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,31 +1,24 @@
 //! The platform over HTTP/1.
 //!
-//! Each call has the connection for itself and drives it, so no executor is needed. A connection whose call has
-//! finished is kept for the next call.
+//! The form of the documents and paths that the stand-in of this repository serves.
 
-use crate::http_connection::{Answer, HttpConnection, Lost};
+use crate::http_client::{Call, HttpClient};
+use crate::http_connection::{Answer, Lost};
 use crate::{Changes, Expect, ListedInstance, Object, Platform, PlatformError};
-use async_io::Timer;
-use futures_lite::FutureExt;
 use hyper::{Method, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::time::Duration;
 use wasabiyard_model::Version;
 
-/// Connections kept for reuse. The control thread has a few calls at the same time, of which one is a watch.
-const MAX_IDLE_CONNECTIONS: usize = 4;
-
 /// Client of the platform's HTTP interface.
 #[derive(Debug)]
 pub struct HttpPlatform {
-    address: SocketAddr,
+    client: HttpClient,
     timeout: Duration,
-    idle: Mutex<Vec<HttpConnection>>,
 }
 
 #[derive(Deserialize)]
@@ -49,15 +42,14 @@
     /// longer than its own time.
     pub const fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self {
-            address,
+            client: HttpClient::new(address),
             timeout,
-            idle: Mutex::new(Vec::new()),
         }
     }
 
     /// Sends a read. A read changes nothing, so a lost answer is the same as an unavailable platform.
     async fn read(&self, path: &str, timeout: Duration) -> Result<Answer, PlatformError> {
-        let answer = self.call(Method::GET, path, None, timeout).await;
+        let answer = self.client.call(&Call::new(Method::GET, path), timeout).await;
         match answer {
             Ok(answer) => refuse(answer, path),
             Err(Lost::BeforeSending(reason) | Lost::AfterSending(reason)) => {
@@ -75,7 +67,11 @@
         value: Option<&Value>,
     ) -> Result<Answer, PlatformError> {
         let path = format!("/objects/{}?if_version={expected}", escape(key));
-        match self.call(method, &path, value, self.timeout).await {
+        let call = Call {
+            value,
+            ..Call::new(method, &path)
+        };
+        match self.client.call(&call, self.timeout).await {
             Err(Lost::BeforeSending(reason)) => Err(PlatformError::Unavailable { reason }),
             Err(Lost::AfterSending(reason)) => {
                 log::warn!("the answer to an update of {key} was lost: {reason}");
@@ -91,57 +87,6 @@
             Ok(answer) => refuse(answer, key),
         }
     }
-
-    async fn call(
-        &self,
-        method: Method,
-        path: &str,
-        value: Option<&Value>,
-        timeout: Duration,
-    ) -> Result<Answer, Lost> {
-        let idle = self.take_idle().await;
-        let deadline = Timer::after(timeout);
-        let mut sent = false;
-        let outcome = async {
-            let mut conn = match idle {
-                Some(conn) => conn,
-                None => HttpConnection::open(self.address).await?,
-            };
-            sent = true;
-            let answer = conn.send(method, path, value).await?;
-            Ok((conn, answer))
-        }
-        .or(async {
-            deadline.await;
-            Err(Lost::AfterSending(format!("no answer within {timeout:?}")))
-        })
-        .await;
-        match outcome {
-            Ok((conn, answer)) => {
-                self.keep(conn);
-                Ok(answer)
-            }
-            Err(Lost::AfterSending(reason)) if !sent => Err(Lost::BeforeSending(reason)),
-            Err(lost) => Err(lost),
-        }
-    }
-
-    /// An idle connection that the platform has not closed meanwhile.
-    async fn take_idle(&self) -> Option<HttpConnection> {
-        loop {
-            let mut conn = self.idle.lock().expect("no panic under this lock").pop()?;
-            if conn.is_usable().await {
-                return Some(conn);
-            }
-        }
-    }
-
-    fn keep(&self, conn: HttpConnection) {
-        let mut idle = self.idle.lock().expect("no panic under this lock");
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(conn);
-        }
-    }
 }
 
 impl Platform for HttpPlatform {
--- a/crates/platform/src/http_connection.rs
+++ b/crates/platform/src/http_connection.rs
@@ -5,8 +5,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::{Method, Request, StatusCode};
-use serde_json::Value;
+use hyper::{Request, StatusCode};
+use crate::http_client::Call;
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
@@ -24,14 +24,16 @@
 
 /// An answer of the platform.
 #[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) body: Bytes,
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Body.
+    pub body: Bytes,
 }
 
 /// Why there is no answer.
 #[derive(Debug)]
-pub(crate) enum Lost {
+pub enum Lost {
     /// No byte of the request was sent.
     BeforeSending(String),
     /// The request may have been handled.
@@ -61,18 +63,19 @@
     }
 
     /// Sends one request and reads its whole answer.
-    pub(crate) async fn send(
-        &mut self,
-        method: Method,
-        path: &str,
-        value: Option<&Value>,
-    ) -> Result<Answer, Lost> {
-        let body = value.map_or_else(Bytes::new, |v| Bytes::from(v.to_string()));
-        let req = Request::builder()
-            .method(method)
-            .uri(path)
+    pub(crate) async fn send(&mut self, call: &Call<'_>) -> Result<Answer, Lost> {
+        let body = call
+            .value
+            .map_or_else(Bytes::new, |v| Bytes::from(v.to_string()));
+        let mut req = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path)
             .header("host", "platform")
-            .header("content-type", "application/json")
+            .header("content-type", "application/json");
+        for (name, value) in call.headers {
+            req = req.header(*name, value);
+        }
+        let req = req
             .body(Full::new(body))
             .map_err(|e| Lost::BeforeSending(format!("request: {e}")))?;
         let Self { sender, driver } = self;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod documents;
 mod error;
 mod http;
+mod http_client;
 mod http_connection;
 mod object;
 
@@ -16,4 +17,6 @@
 };
 pub use error::PlatformError;
 pub use http::HttpPlatform;
+pub use http_client::{Call, HttpClient};
+pub use http_connection::{Answer, Lost};
 pub use object::{Changes, Expect, ListedInstance, ListedState, Object, Platform};
--- a/crates/session/src/age.rs
+++ b/crates/session/src/age.rs
@@ -61,4 +61,15 @@
             .find(|s| now.saturating_since(s.asked) <= age)
             .map(|s| s.point)
     }
+
+    /// When the primary was first seen at or beyond `point`. `None` when no sample shows it.
+    pub fn reached(&self, point: LogPoint) -> Option<Time> {
+        let first = self.confirmed.partition_point(|s| s.point < point);
+        self.confirmed.get(first).map(|s| s.asked)
+    }
+
+    /// The newest sample.
+    pub fn newest(&self) -> Option<AgeSample> {
+        self.confirmed.back().copied()
+    }
 }
