--- a/crates/gateway/src/control/control.rs
+++ b/crates/gateway/src/control/control.rs
@@ -171,7 +171,7 @@
             .spawn(Rc::clone(&self).watch_primaries(Rc::clone(&executor)))
             .detach();
         // The channel carries nothing; it is closed when the process stops.
-        drop(self.wiring.stop.recv().await);
+        let _closed = self.wiring.stop.recv().await;
         self.state.borrow_mut().stopping = true;
         self.sign_off().await;
     }
@@ -467,7 +467,7 @@
         let directory = Arc::new(self.state.borrow().directory.clone());
         self.wiring.directory.store(directory);
         // A full channel means that a notice is under way.
-        drop(self.wiring.changed.try_send(()));
+        let _notified = self.wiring.changed.try_send(());
     }
 }
 
--- a/crates/gateway/src/control/failover.rs
+++ b/crates/gateway/src/control/failover.rs
@@ -1,6 +1,6 @@
 //! When a primary is replaced, and by which server.
 
-use crate::{BackendServer, Directory, PrimaryRecord, Role, ServerStatus};
+use crate::{BackendServer, Directory, PrimaryRecord, ServerStatus};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,10 +8,14 @@
 
 /// How long a primary that is no longer listed may still be used. Entries lapse while the store is away.
 const UNLISTED_GRACE: Duration = Duration::from_millis(2_500);
-/// Reports of unreachable servers older than this are ignored.
+/// An instance that was not heard for this long has no say.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
-/// One part in this many instances must report a primary before it is replaced.
-const REPORTING_PART: usize = 4;
+/// Part of the instances that must miss a primary before it is replaced, when all of them are in touch and the change
+/// is therefore quick.
+const QUICK_PART: f64 = 0.3;
+/// Part of the instances in touch that must miss a primary before it is replaced, when others are not in touch and
+/// their view leases have to end first.
+const SLOW_PART: f64 = 0.5;
 
 /// Why a primary is replaced.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,8 +24,6 @@
     Leaving,
     /// It does not answer, or is gone.
     Lost,
-    /// Another server leads already.
-    Adopt(Arc<str>),
 }
 
 /// Which instances cannot reach which servers.
@@ -60,6 +62,25 @@
         }
     }
 
+    /// Whether enough instances miss a server for a change of primary to help more callers than it holds up.
+    fn is_missed(&self, server: &str, directory: &Directory, now: Time) -> bool {
+        let in_touch = directory
+            .members
+            .iter()
+            .filter(|m| {
+                let report = self.unreachable.get(&m.id);
+                report.is_some_and(|(at, _)| now.saturating_since(*at) < REPORT_LIFETIME)
+            })
+            .count();
+        let part = if in_touch == directory.members.len() {
+            QUICK_PART
+        } else {
+            SLOW_PART
+        };
+        let missing = self.count(server, now);
+        missing > 0 && missing as f64 >= in_touch as f64 * part
+    }
+
     fn is_gone(&self, server: &str, now: Time) -> bool {
         self.unlisted_since
             .get(server)
@@ -71,23 +92,13 @@
 pub fn needs_move(service: &str, directory: &Directory, reports: &Reports, now: Time) -> Option<MoveReason> {
     let primary = directory.primaries.get(service)?.serving()?;
     let listed = directory.servers.get(primary);
-    let mut others = directory
-        .servers
-        .values()
-        .filter(|s| *s.service == *service && s.id != *primary);
-    if listed.is_some_and(|s| s.role == Role::Replica)
-        && let Some(other) = others.find(|s| s.role == Role::Primary)
-    {
-        return Some(MoveReason::Adopt(Arc::clone(&other.id)));
-    }
     if !has_candidate(service, primary, directory) {
         return None;
     }
     if listed.is_some_and(|s| !directory.takes_new_work(s)) {
         return Some(MoveReason::Leaving);
     }
-    let needed = (directory.fleet_size() / REPORTING_PART).max(1);
-    let lost = reports.count(primary, now) >= needed || reports.is_gone(primary, now);
+    let lost = reports.is_missed(primary, directory, now) || reports.is_gone(primary, now);
     lost.then_some(MoveReason::Lost)
 }
 
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -3,7 +3,7 @@
 //! Each step starts from the record in the store, so that another holder can go on after any of them.
 
 use super::control::Control;
-use super::failover::{CandidateStatus, MoveReason, candidates, choose_candidate, needs_move, newest};
+use super::failover::{CandidateStatus, candidates, choose_candidate, needs_move, newest};
 use super::records;
 use crate::directory::VIEW_LEASE;
 use crate::{
@@ -131,11 +131,11 @@
         };
         match reason {
             None => Ok(()),
-            Some(MoveReason::Adopt(other)) => {
-                let next = record.followed_by(Leadership::Serving { primary: other });
-                self.record(service, next).await
-            }
             Some(reason) => {
+                if self.statuses(service, &primary).await.is_empty() {
+                    // Without a successor a change would only take the primary away from those that reach it.
+                    return Ok(());
+                }
                 log::info!(service:% = service, primary:% = primary, reason:? = reason; "primary is replaced");
                 let next = record.followed_by(Leadership::Moving { from: primary });
                 self.record(service, next).await?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -473,7 +473,7 @@
 
 /// Ends when the channel is closed; it carries nothing.
 async fn ended(channel: &Receiver<()>) -> Result<Next, ConnectionError> {
-    drop(channel.recv().await);
+    let _closed = channel.recv().await;
     Ok(Next::End)
 }
 
--- a/crates/gateway/src/traffic/lease.rs
+++ b/crates/gateway/src/traffic/lease.rs
@@ -58,7 +58,7 @@
             let run = async { conn.run(cmd).await.map_err(LeaseError::Connection) };
             let revoked = async {
                 // The channel carries nothing; it is closed when the lease ends.
-                drop(self.revoked.recv().await);
+                let _closed = self.revoked.recv().await;
                 Err(LeaseError::Revoked)
             };
             let expired = async {
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -24,8 +24,12 @@
 const IDLE_TIME: Duration = Duration::from_secs(20);
 /// How long transactions on a primary that is being replaced may still end.
 const RELEASE_GRACE: Duration = Duration::from_millis(120);
-/// Usual time from the moment a primary stops taking work until its successor takes it.
-const USUAL_MOVE: Duration = Duration::from_millis(1_100);
+/// Usual time from the moment a primary stops taking work until its successor takes it, when all instances are in touch.
+const QUICK_MOVE: Duration = Duration::from_millis(1_200);
+/// The same when view leases have to end first.
+const SLOW_MOVE: Duration = Duration::from_millis(4_700);
+/// Time to come back after a move that takes longer than it should.
+const LATE_MOVE_RETRY: Duration = Duration::from_millis(300);
 
 /// Settings of the pool.
 #[derive(Debug, Clone)]
@@ -594,11 +598,8 @@
 fn check_primary<C, R>(pool: &ServicePool<C, R>, deadline: Time, now: Time) -> Result<(), PoolError> {
     let expected = match &pool.primary {
         PrimaryView::Usable { .. } if pool.primary_answers(now) => return Ok(()),
-        PrimaryView::Usable { .. } => USUAL_MOVE * 2,
-        PrimaryView::Moving => {
-            let since = pool.moving_since.unwrap_or(now);
-            USUAL_MOVE.saturating_sub(now.saturating_since(since))
-        }
+        PrimaryView::Usable { .. } => QUICK_MOVE,
+        PrimaryView::Moving => rest_of_move(now.saturating_since(pool.moving_since.unwrap_or(now))),
         PrimaryView::Unproved | PrimaryView::Unknown => {
             return Err(PoolError::NoPrimary {
                 retry_after: Duration::from_secs(1),
@@ -613,6 +614,15 @@
     Ok(())
 }
 
+/// Expected time until the successor takes work, `elapsed` after the old primary stopped.
+fn rest_of_move(elapsed: Duration) -> Duration {
+    if elapsed < QUICK_MOVE {
+        QUICK_MOVE - elapsed
+    } else {
+        SLOW_MOVE.saturating_sub(elapsed).max(LATE_MOVE_RETRY)
+    }
+}
+
 const fn refusal(e: NotRun) -> PoolError {
     match e {
         NotRun::Deadline => PoolError::Deadline,
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -20,6 +20,8 @@
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// Time without any answer, while answers are due, after which the server counts as unreachable.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(600);
+/// A failure older than this says nothing of a server that was not asked since.
+const FAILURE_LIFETIME: Duration = Duration::from_millis(1_200);
 
 /// An idle connection.
 #[derive(Debug)]
@@ -44,6 +46,7 @@
     pause_until: Time,
     /// When the oldest of the attempts that have failed or hang since the last answer was made.
     failing_since: Option<Time>,
+    last_failure: Time,
     last_heard: Time,
     /// Receivers are held by leases; dropping the sender ends them.
     revocation: (Sender<()>, Receiver<()>),
@@ -61,6 +64,7 @@
             failures: 0,
             pause_until: Time::ZERO,
             failing_since: None,
+            last_failure: Time::ZERO,
             last_heard: Time::ZERO,
             revocation: async_channel::bounded(1),
         }
@@ -74,11 +78,6 @@
         !self.idle.is_empty() || now >= self.pause_until
     }
 
-    /// When attempts to connect are allowed again, if they are not now.
-    pub(super) fn paused_until(&self, now: Time) -> Option<Time> {
-        (now < self.pause_until).then_some(self.pause_until)
-    }
-
     /// Takes the idle connection of an organisation whose values are closest to those of the session.
     pub(super) fn take_idle<F>(&mut self, organisation: &str, fits: F) -> Option<IdleConnection<C>>
     where
@@ -129,6 +128,7 @@
             return;
         }
         self.failing_since.get_or_insert(started);
+        self.last_failure = now;
         let pause = FIRST_PAUSE * (1 << self.failures.min(4));
         self.failures += 1;
         self.pause_until = now + pause.min(MAX_PAUSE);
@@ -138,8 +138,10 @@
 
     /// Whether the server has not answered for a while although it was asked.
     pub(super) fn is_unreachable(&self, now: Time) -> bool {
-        self.failing_since
-            .is_some_and(|since| now.saturating_since(since) > UNREACHABLE_AFTER)
+        now.saturating_since(self.last_failure) < FAILURE_LIFETIME
+            && self
+                .failing_since
+                .is_some_and(|since| now.saturating_since(since) > UNREACHABLE_AFTER)
     }
 
     pub(super) fn revocation(&self) -> Receiver<()> {
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -183,13 +183,6 @@
         self.usable_primary().is_some_and(|(p, _)| **p == *server)
     }
 
-    /// Whether some server other than the primary may take new work.
-    pub(super) fn has_replica(&self, now: Time) -> bool {
-        self.taking_work
-            .iter()
-            .any(|id| !self.is_primary(id) && !self.servers[id].is_unreachable(now))
-    }
-
     /// Whether the primary answers and takes new work.
     pub(super) fn primary_answers(&self, now: Time) -> bool {
         self.usable_primary()
