--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -8,7 +8,7 @@
 use wasabiyard_model::Time;
 
 /// Offset of the first reading, so that subtracting a span from an early time does not saturate at zero.
-const ORIGIN: Duration = Duration::from_secs(3_600);
+const ORIGIN: Duration = Duration::from_hours(1);
 
 static START: LazyLock<Duration> = LazyLock::new(since_boot);
 
--- a/crates/gateway/src/control/failover.rs
+++ b/crates/gateway/src/control/failover.rs
@@ -9,7 +9,7 @@
 /// How long a primary that is no longer listed may still be used. Entries lapse while the store is away.
 const UNLISTED_GRACE: Duration = Duration::from_millis(2_500);
 /// An instance that was not heard for this long has no say.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
+const REPORT_LIFETIME: Duration = Duration::from_secs(1);
 /// Part of the instances that must miss a primary before it is replaced, when all of them are in touch and the change
 /// is therefore quick.
 const QUICK_PART: f64 = 0.3;
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -2,13 +2,13 @@
 //!
 //! Each step starts from the record in the store, so that another holder can go on after any of them.
 
-use super::control::Control;
+use super::control_loop::Control;
 use super::failover::{CandidateStatus, candidates, choose_candidate, needs_move, newest};
 use super::records;
 use crate::directory::VIEW_LEASE;
 use crate::{
-    Connected, Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, PromotionAnswer, PromotionOrder,
-    Promoter, Role, ServerConnection, ServerStatus, Target, clock,
+    Connected, Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionAnswer,
+    PromotionOrder, Role, ServerConnection, ServerStatus, Target, clock,
 };
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -294,7 +294,10 @@
             let next = record.followed_by(Leadership::Moving { from });
             return self.record(service, next).await;
         }
-        if !self.await_lead(service, &candidate, clock::now() + PROMOTION_WAIT).await {
+        if !self
+            .await_lead(service, &candidate, clock::now() + PROMOTION_WAIT)
+            .await
+        {
             return Ok(());
         }
         let next = record.followed_by(Leadership::Serving { primary: candidate });
@@ -324,8 +327,8 @@
         {
             let mut state = self.state.borrow_mut();
             state.versions.insert(Arc::clone(service), version);
-            state.adopt(Arc::clone(service), next.clone());
-        }
+            state.adopt(Arc::clone(service), next.clone())
+        };
         self.publish();
         self.tell(service, &next);
         Ok(())
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,11 +1,15 @@
 //! The control thread: it reads the store, registers this instance, and replaces primaries while it holds the duty.
 
-mod control;
+mod control_loop;
 mod duty;
+mod duty_loop;
 mod failover;
 mod leadership_task;
+mod pace;
+mod poll;
 mod records;
+mod state;
 
-pub use control::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring};
+pub use control_loop::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring};
 pub use duty::{DutyRecord, DutyView};
-pub use failover::{CandidateStatus, MoveReason, choose_candidate, needs_move};
+pub use failover::{CandidateStatus, MoveReason, Reports, choose_candidate, needs_move};
--- /dev/null
+++ b/crates/gateway/src/control/poll.rs
@@ -0,0 +1,204 @@
+//! Reading the store in loops, and the registration of this instance.
+
+use super::control_loop::Control;
+use super::pace::{Pace, RETRY_PAUSE};
+use super::records::{self, Records, SecretRecord};
+use crate::{BackendServer, Configuration, Connector, Directory, Discovery, Promoter, clock};
+use async_io::Timer;
+use rand::Rng;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_model::Time;
+use wasabiyard_platform::{Expect, Platform};
+
+/// Period of reading the configuration. Keys must stop working within seconds.
+const CONFIGURATION_PERIOD: Duration = Duration::from_millis(900);
+/// Period of reading the own records. Must be well below the view lease.
+pub(super) const RECORDS_PERIOD: Duration = Duration::from_millis(900);
+/// Period of reading the list of backend servers.
+const SERVERS_PERIOD: Duration = Duration::from_millis(1_200);
+/// Period of reading the failure domains out of service.
+const DOMAINS_PERIOD: Duration = Duration::from_millis(1_500);
+
+impl<P, D, M, C> Control<P, D, M, C>
+where
+    P: Platform + 'static,
+    D: Discovery + 'static,
+    M: Promoter + 'static,
+    C: Connector + 'static,
+{
+    pub(super) async fn poll_configuration(self: Rc<Self>) {
+        let mut pace = Pace::new(CONFIGURATION_PERIOD, "configuration");
+        loop {
+            let asked = clock::now();
+            let result = self.discovery.configuration().await;
+            if let Some(configuration) = pace.settle(result) {
+                self.take_configuration(configuration, asked);
+                self.publish();
+            }
+            pace.wait().await;
+        }
+    }
+
+    fn take_configuration(&self, configuration: Option<Arc<Configuration>>, asked: Time) {
+        let mut state = self.state.borrow_mut();
+        let directory = &mut state.directory;
+        let known = directory.configuration.as_ref().map(|c| c.version);
+        if let Some(new) = configuration.filter(|new| known.is_none_or(|v| v < new.version)) {
+            log::info!(version:% = new.version, routes = new.routes.len(); "configuration in force");
+            directory.configuration = Some(new);
+        }
+        directory.configuration_proved = asked;
+    }
+
+    fn take_servers(&self, servers: Vec<BackendServer>, now: Time) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        log_server_changes(&state.directory, &servers);
+        state.directory.servers = servers
+            .into_iter()
+            .map(|s| (Arc::clone(&s.id), Arc::new(s)))
+            .collect();
+        state.reports.on_listed(&state.directory, now);
+    }
+
+    pub(super) async fn poll_servers(self: Rc<Self>) {
+        let mut pace = Pace::new(SERVERS_PERIOD, "servers");
+        loop {
+            let result = self.discovery.backend_servers().await;
+            if let Some(servers) = pace.settle(result) {
+                self.take_servers(servers, clock::now());
+                self.publish();
+            }
+            pace.wait().await;
+        }
+    }
+
+    pub(super) async fn poll_domains(self: Rc<Self>) {
+        let mut pace = Pace::new(DOMAINS_PERIOD, "failure domains");
+        loop {
+            let result = self.discovery.domains_out().await;
+            if let Some(domains) = pace.settle(result) {
+                let changed = self.state.borrow().directory.domains_out != domains;
+                if changed {
+                    log::info!(out:? = domains; "failure domains out of service");
+                    self.state.borrow_mut().directory.domains_out = domains;
+                    self.publish();
+                }
+            }
+            pace.wait().await;
+        }
+    }
+
+    pub(super) async fn poll_records(self: Rc<Self>) {
+        let mut pace = Pace::new(RECORDS_PERIOD, "records");
+        loop {
+            let asked = clock::now();
+            let result = self.platform.list(records::KIND).await;
+            if let Some(changes) = pace.settle(result) {
+                let records = Records::read(&changes.objects);
+                let registered = self.is_registered(&records);
+                let secret = records.secret.is_some();
+                self.take_records(records, asked, registered);
+                if !secret {
+                    self.create_secret().await;
+                }
+                if !registered {
+                    self.register().await;
+                    // The list has to be read again before it proves anything.
+                    continue;
+                }
+            }
+            pace.wait().await;
+        }
+    }
+
+    /// Takes over the records. They prove the view only once this instance is registered, so that whoever replaces a
+    /// primary waits for it.
+    fn take_records(&self, records: Records, asked: Time, registered: bool) {
+        let now = clock::now();
+        {
+            let mut state = self.state.borrow_mut();
+            state.duty.on_read(records.duty, now);
+            for (service, (version, record)) in records.primaries {
+                state.versions.insert(Arc::clone(&service), version);
+                state.adopt(service, record);
+            }
+            state.instance_versions = records
+                .instances
+                .iter()
+                .map(|(n, (v, _))| (Arc::clone(n), *v))
+                .collect();
+            let mut members: Vec<_> = records.instances.into_values().map(|(_, m)| m).collect();
+            members.sort_by(|a, b| a.id.cmp(&b.id));
+            for member in &members {
+                state.heard.entry(member.id.clone()).or_insert(now);
+            }
+            let holder = state.duty.holder().map(Arc::clone);
+            let directory = &mut state.directory;
+            directory.members = members;
+            directory.duty_holder = holder;
+            if let Some(secret) = records.secret {
+                directory.peer_secret = Some(Arc::from(secret.key.as_bytes()));
+            }
+            if registered {
+                directory.records_proved = asked;
+            }
+        }
+        self.publish();
+    }
+
+    fn is_registered(&self, records: &Records) -> bool {
+        let me = &self.settings.instance;
+        records
+            .instances
+            .get(me.id.as_str())
+            .is_some_and(|(_, found)| found == me)
+    }
+
+    async fn register(&self) {
+        let me = &self.settings.instance;
+        let key = records::instance_key(me.id.as_str());
+        let version = self.state.borrow().instance_versions.get(me.id.as_str()).copied();
+        let expect = version.map_or(Expect::Absent, Expect::Version);
+        let value = serde_json::json!(me);
+        match self.platform.put(&key, expect, &value).await {
+            Ok(version) => log::info!(version:% = version; "registered"),
+            Err(e) => {
+                log::info!(error:% = e; "cannot register");
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    async fn create_secret(&self) {
+        let bytes: [u8; 16] = rand::rng().random();
+        let key = format!("{:032x}", u128::from_le_bytes(bytes));
+        let value = serde_json::json!(SecretRecord { key: key.into() });
+        if let Err(e) = self
+            .platform
+            .put(&records::secret_key(), Expect::Absent, &value)
+            .await
+        {
+            log::info!(error:% = e; "the secret of the fleet was not written");
+        }
+    }
+}
+
+fn log_server_changes(directory: &Directory, servers: &[BackendServer]) {
+    for server in servers {
+        let known = directory.servers.get(&server.id);
+        if known.is_none_or(|k| k.draining != server.draining || k.role != server.role) {
+            log::info!(
+                server:% = server.id, service:% = server.service, role:? = server.role, draining = server.draining;
+                "backend server"
+            );
+        }
+    }
+    for id in directory.servers.keys() {
+        if !servers.iter().any(|s| s.id == *id) {
+            log::info!(server:% = id; "backend server no longer listed");
+        }
+    }
+}
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -83,7 +83,7 @@
     match T::deserialize(&object.value) {
         Ok(record) => Some(record),
         Err(e) => {
-            log::warn!(object = object.key, error:% = e; "an own object cannot be read");
+            log::warn!(object:% = object.key, error:% = e; "an own object cannot be read");
             None
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,8 +5,7 @@
 use crate::rate::RateBook;
 use crate::traffic::{Pool, PoolSettings, Session, SessionContext, SessionSettings};
 use crate::{
-    CallerLink, ConnectionError, Connector, Directory, Discovery, PeerMessage, Phase,
-    Promoter, clock,
+    CallerLink, ConnectionError, Connector, Directory, Discovery, PeerMessage, Phase, Promoter, clock,
 };
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -67,6 +66,9 @@
     NotReady(&'static str),
 }
 
+/// Version of the configuration and the peers that the rates were computed from.
+type RateInputs = (Option<Version>, Vec<(InstanceId, Incarnation)>);
+
 /// An instance.
 pub struct Gateway<C>
 where
@@ -88,7 +90,7 @@
     end_all: (Sender<()>, Receiver<()>),
     stopping: Cell<bool>,
     sessions: Cell<usize>,
-    configured: RefCell<(Option<Version>, Vec<(InstanceId, Incarnation)>)>,
+    configured: RefCell<RateInputs>,
 }
 
 impl<C> std::fmt::Debug for Gateway<C>
@@ -114,7 +116,7 @@
     pub fn open<P, D, M, K, F>(
         settings: GatewaySettings,
         connector: C,
-        executor: Rc<LocalExecutor<'static>>,
+        executor: &Rc<LocalExecutor<'static>>,
         open_edges: F,
     ) -> io::Result<Rc<Self>>
     where
@@ -149,13 +151,13 @@
                 domain: Arc::from(me.domain.as_str()),
                 seed: me.incarnation.0,
             },
-            Rc::clone(&executor),
+            Rc::clone(executor),
         );
         let rates = Rc::new(RefCell::new(RateBook::new(settings.rate_tolerance, now)));
         let cx = Rc::new(SessionContext {
             pool: Rc::clone(&pool),
             rates: Rc::clone(&rates),
-            executor: Rc::clone(&executor),
+            executor: Rc::clone(executor),
             settings: SessionSettings {
                 key_lifetime: settings.key_lifetime,
             },
@@ -168,7 +170,7 @@
             directory,
             socket,
             events,
-            executor: Rc::clone(&executor),
+            executor: Rc::clone(executor),
             control: RefCell::new(Some(control)),
             stop_control,
             end_idle: async_channel::bounded(1),
@@ -177,8 +179,12 @@
             sessions: Cell::new(0),
             configured: RefCell::default(),
         });
-        executor.spawn(Rc::clone(&gateway).follow_directory(changed)).detach();
-        executor.spawn(Rc::clone(&gateway).send_broadcasts(broadcast)).detach();
+        executor
+            .spawn(Rc::clone(&gateway).follow_directory(changed))
+            .detach();
+        executor
+            .spawn(Rc::clone(&gateway).send_broadcasts(broadcast))
+            .detach();
         executor.spawn(Rc::clone(&gateway).receive_from_peers()).detach();
         executor.spawn(Rc::clone(&gateway).report()).detach();
         executor.spawn(Rc::clone(&gateway).tick()).detach();
@@ -325,7 +331,7 @@
             let directory = self.directory.load_full();
             let now = clock::now();
             self.configure_rates(&directory, now);
-            self.pool.update(directory, now);
+            self.pool.update(&directory, now);
         }
     }
 
@@ -364,7 +370,9 @@
         for member in directory.members.iter().filter(|m| m.id != *me) {
             match member.address.parse() {
                 Ok(address) => self.socket.send(address, message.clone(), secret),
-                Err(e) => log::warn!(instance:% = member.id, error:% = e; "unreadable address of an instance"),
+                Err(e) => {
+                    log::warn!(instance:% = member.id, error:% = e; "unreadable address of an instance");
+                }
             }
         }
     }
@@ -401,11 +409,7 @@
                 self.tell_control(ControlEvent::Recorded { service, record });
             }
             PeerMessage::Released { service, epoch } => {
-                self.tell_control(ControlEvent::Released {
-                    from,
-                    service,
-                    epoch,
-                });
+                self.tell_control(ControlEvent::Released { from, service, epoch });
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,7 @@
 pub use caller_error::CallerError;
 pub use configuration::{Configuration, Freshness, OrganisationRule, RouteRule, ServiceRule};
 pub use directory::{Directory, PrimaryView, VIEW_LEASE};
-pub use discovery::{Discovery, PromotionAnswer, PromotionOrder, Promoter};
+pub use discovery::{Discovery, Promoter, PromotionAnswer, PromotionOrder};
 pub use edges::{
     CallerLink, Command, Connected, ConnectionError, Connector, Login, ServerConnection, ServerStatus, Target,
 };
--- a/crates/gateway/src/rate/rate_book.rs
+++ b/crates/gateway/src/rate/rate_book.rs
@@ -108,11 +108,7 @@
 
     /// Records what a peer says of its demand. Organisations that it does not name have none.
     pub fn hear(&mut self, peer: &InstanceId, incarnation: Incarnation, demands: &[(Arc<str>, f64)]) {
-        if !self
-            .members
-            .iter()
-            .any(|(m, i)| m == peer && *i == incarnation)
-        {
+        if !self.members.iter().any(|(m, i)| m == peer && *i == incarnation) {
             return;
         }
         for bucket in self.buckets.values_mut() {
@@ -132,9 +128,7 @@
         }
         self.reshare(now);
         let demanded = self.buckets.values().filter(|b| b.demand.0 >= QUIET_DEMAND);
-        demanded
-            .map(|b| (Arc::clone(&b.rule.name), b.demand.0))
-            .collect()
+        demanded.map(|b| (Arc::clone(&b.rule.name), b.demand.0)).collect()
     }
 
     fn reshare(&mut self, now: Time) {
--- a/crates/gateway/src/traffic/lease.rs
+++ b/crates/gateway/src/traffic/lease.rs
@@ -2,7 +2,9 @@
 
 use super::pool::Pool;
 use crate::profile::{MAX_PREPARED, Profile, SessionValues};
-use crate::{Answer, CallerError, Command, ConnectionError, Connector, Phase, ServerConnection, Shape, clock};
+use crate::{
+    Answer, CallerError, Command, ConnectionError, Connector, Phase, ServerConnection, Shape, clock,
+};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -144,8 +146,7 @@
 
     /// Whether answers may still be relied on: the lease was not revoked, and a primary is proved at `now`.
     pub(super) fn in_force(&self, now: Time) -> bool {
-        !self.revoked.is_closed()
-            && (self.epoch.is_none() || self.pool.directory().view_lease_holds(now))
+        !self.revoked.is_closed() && (self.epoch.is_none() || self.pool.directory().view_lease_holds(now))
     }
 
     /// Whether the connection still seems usable.
@@ -156,8 +157,7 @@
     async fn light(&mut self, cmd: Command<'_>) -> Result<(), LeaseError> {
         let answer = self.run(cmd, LIGHT_COMMAND_TIMEOUT).await?;
         match answer.failure() {
-            None => Ok(()),
-            Some(CallerError::UnknownPrepared) => Ok(()),
+            None | Some(CallerError::UnknownPrepared) => Ok(()),
             Some(e) => {
                 log::debug!(server:% = self.server, error = e.name(); "a backend server refused a session command");
                 self.discard();
--- a/crates/gateway/src/traffic/placement.rs
+++ b/crates/gateway/src/traffic/placement.rs
@@ -19,6 +19,7 @@
 
 /// What is known of a server when a statement is placed.
 #[derive(Debug, Clone, Copy, PartialEq)]
+#[expect(clippy::struct_excessive_bools, reason = "independent facts of one server")]
 pub struct Candidate {
     /// Whether it is the primary.
     pub primary: bool,
@@ -81,7 +82,13 @@
 
 impl ReplicaLag {
     /// Whether a replica that was seen at `applied` is expected to hold `point`, which the primary reached at `reached`.
-    pub fn expects(&self, applied: Option<LogPoint>, point: LogPoint, reached: Option<Time>, now: Time) -> bool {
+    pub fn expects(
+        &self,
+        applied: Option<LogPoint>,
+        point: LogPoint,
+        reached: Option<Time>,
+        now: Time,
+    ) -> bool {
         applied.is_some_and(|a| a >= point)
             || reached.is_some_and(|reached| now.saturating_since(reached) > self.estimate)
     }
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -104,11 +104,7 @@
     C: Connector + 'static,
 {
     /// An empty pool.
-    pub fn new(
-        connector: C,
-        settings: PoolSettings,
-        executor: Rc<LocalExecutor<'static>>,
-    ) -> Rc<Self> {
+    pub fn new(connector: C, settings: PoolSettings, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
         let rng = RefCell::new(SmallRng::seed_from_u64(settings.seed));
         Rc::new(Self {
             connector,
@@ -128,8 +124,8 @@
     }
 
     /// Takes over a new directory.
-    pub fn update(self: &Rc<Self>, directory: Arc<Directory>, now: Time) {
-        *self.directory.borrow_mut() = Arc::clone(&directory);
+    pub fn update(self: &Rc<Self>, directory: &Arc<Directory>, now: Time) {
+        *self.directory.borrow_mut() = Arc::clone(directory);
         let mut names: Vec<Arc<str>> = directory.primaries.keys().map(Arc::clone).collect();
         names.extend(directory.servers.values().map(|s| Arc::clone(&s.service)));
         names.extend(self.services.borrow().keys().map(Arc::clone));
@@ -140,8 +136,8 @@
                 .borrow_mut()
                 .entry(Arc::clone(service))
                 .or_insert_with(ServicePool::new)
-                .update(service, &directory, now);
-            self.update_primary(service, &directory, now);
+                .update(service, directory, now);
+            self.update_primary(service, directory, now);
             self.dispatch(service, now);
         }
     }
@@ -207,7 +203,7 @@
         }
         let ahead = pool.queue(lane).ahead(ask.organisation, 1, ask.class);
         let connections = pool.connections(lane);
-        if pool.queue(lane).len() > 0 {
+        if !pool.queue(lane).is_empty() {
             let admission = pool.admission(lane);
             let retry_after = admission.estimated_wait(ahead, connections, now);
             admission
@@ -266,8 +262,15 @@
         } = granted;
         match grant {
             Grant::Idle(idle) => {
-                let lease = self.lease(service, &server, &waiter.organisation, idle.conn, idle.profile, now);
-                self.hand_over(service, waiter, lease);
+                let lease = self.lease(
+                    service,
+                    &server,
+                    &waiter.organisation,
+                    idle.conn,
+                    idle.profile,
+                    now,
+                );
+                hand_over(&waiter, lease);
             }
             Grant::Connect => {
                 let pool = Rc::clone(self);
@@ -278,17 +281,6 @@
         }
     }
 
-    fn hand_over(self: &Rc<Self>, service: &Arc<str>, waiter: Waiter<Reply<C>>, lease: Option<Lease<C>>) {
-        match lease {
-            // Dropping a lease whose waiter has gone returns the connection.
-            Some(lease) => drop(waiter.reply.try_send(Ok(lease))),
-            None => {
-                log::debug!(service:% = service; "a server went away while it was chosen");
-                drop(waiter.reply.try_send(Err(PoolError::NoServer)));
-            }
-        }
-    }
-
     async fn connect(
         self: Rc<Self>,
         service: Arc<str>,
@@ -313,7 +305,7 @@
                 self.on_heard(&service, &server, point, now);
                 let profile = Profile::default();
                 let lease = self.lease(&service, &server, &waiter.organisation, conn, profile, now);
-                self.hand_over(&service, waiter, lease);
+                hand_over(&waiter, lease);
                 return;
             }
             Some(Ok(Connected::Full)) => self.with_server(&service, &server, |s| s.on_full(now)),
@@ -493,10 +485,7 @@
         F: FnOnce(&mut super::server_pool::ServerPool<C::Connection>),
     {
         let mut services = self.services.borrow_mut();
-        if let Some(server) = services
-            .get_mut(service)
-            .and_then(|p| p.servers.get_mut(server))
-        {
+        if let Some(server) = services.get_mut(service).and_then(|p| p.servers.get_mut(server)) {
             f(server);
         }
     }
@@ -587,13 +576,20 @@
             return;
         };
         for server in pool.servers.values_mut() {
-            server
-                .idle
-                .retain(|c| now.saturating_since(c.since) < IDLE_TIME);
+            server.idle.retain(|c| now.saturating_since(c.since) < IDLE_TIME);
         }
     }
 }
 
+fn hand_over<C>(waiter: &Waiter<Reply<C>>, lease: Option<Lease<C>>)
+where
+    C: Connector + 'static,
+{
+    // Without a lease the server went away while it was chosen. Dropping a lease whose waiter has gone returns the
+    // connection.
+    drop(waiter.reply.try_send(lease.ok_or(PoolError::NoServer)));
+}
+
 /// Refuses at once what cannot be served before its deadline.
 fn check_primary<C, R>(pool: &ServicePool<C, R>, deadline: Time, now: Time) -> Result<(), PoolError> {
     let expected = match &pool.primary {
@@ -617,7 +613,7 @@
 /// Expected time until the successor takes work, `elapsed` after the old primary stopped.
 fn rest_of_move(elapsed: Duration) -> Duration {
     if elapsed < QUICK_MOVE {
-        QUICK_MOVE - elapsed
+        QUICK_MOVE.saturating_sub(elapsed)
     } else {
         SLOW_MOVE.saturating_sub(elapsed).max(LATE_MOVE_RETRY)
     }
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -1,8 +1,8 @@
 //! The connections of this instance to one backend server, and what it knows of the server.
 
 use super::placement::ReplicaLag;
-use crate::profile::Profile;
 use crate::BackendServer;
+use crate::profile::Profile;
 use async_channel::{Receiver, Sender};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -18,7 +18,7 @@
 /// Shortest distance between two samples of the primary's log point.
 const SAMPLE_DISTANCE: Duration = Duration::from_millis(40);
 /// How long a server that is no longer listed is kept, since entries lapse while the store is away.
-const UNLISTED_GRACE: Duration = Duration::from_millis(3_000);
+const UNLISTED_GRACE: Duration = Duration::from_secs(3);
 
 /// A statement or transaction that waits for a connection.
 #[derive(Debug)]
@@ -93,8 +93,9 @@
         for server in listed {
             self.unlisted.remove(&server.id);
             match self.servers.get_mut(&server.id) {
-                Some(known) if known.server.address == server.address
-                    && known.server.started_ms == server.started_ms =>
+                Some(known)
+                    if known.server.address == server.address
+                        && known.server.started_ms == server.started_ms =>
                 {
                     known.server = Arc::clone(server);
                 }
@@ -293,10 +294,7 @@
             local: *pool.server.domain == *domain,
             latency: pool.latency,
             running: pool.busy,
-            connected: pool
-                .idle
-                .iter()
-                .any(|c| c.organisation == waiter.organisation),
+            connected: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
             available: pool.available(self.cap, now),
             holds_point,
         }
@@ -310,12 +308,11 @@
             let adjustment = p.adjustment(values);
             adjustment.set.len() + usize::from(adjustment.reset)
         };
-        let grant = match pool.take_idle(&waiter.organisation, fits) {
-            Some(idle) => Grant::Idle(idle),
-            None => {
-                while pool.open() >= cap && pool.evict() {}
-                Grant::Connect
-            }
+        let grant = if let Some(idle) = pool.take_idle(&waiter.organisation, fits) {
+            Grant::Idle(idle)
+        } else {
+            while pool.open() >= cap && pool.evict() {}
+            Grant::Connect
         };
         pool.busy += 1;
         Granted {
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -685,9 +685,14 @@
 /// The error of a backend server as the caller gets it. Errors that name a server would tell the caller nothing.
 fn relay(answer: Answer, error: CallerError) -> Answer {
     match error {
-        CallerError::ReadOnly | CallerError::WrongServer | CallerError::Lagging | CallerError::UnknownPrepared => {
-            Answer::error(CallerError::Busy, "no server could run the statement", Phase::Idle)
-        }
+        CallerError::ReadOnly
+        | CallerError::WrongServer
+        | CallerError::Lagging
+        | CallerError::UnknownPrepared => Answer::error(
+            CallerError::Busy,
+            "no server could run the statement",
+            Phase::Idle,
+        ),
         _ => answer,
     }
 }
--- a/crates/platform/src/http_connection.rs
+++ b/crates/platform/src/http_connection.rs
@@ -1,12 +1,12 @@
 //! One HTTP/1 connection to the platform, driven by the call that uses it.
 
+use crate::http_client::Call;
 use async_io::Async;
 use futures_lite::{FutureExt, future};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::{Request, StatusCode};
-use crate::http_client::Call;
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
@@ -64,9 +64,7 @@
 
     /// Sends one request and reads its whole answer.
     pub(crate) async fn send(&mut self, call: &Call<'_>) -> Result<Answer, Lost> {
-        let body = call
-            .value
-            .map_or_else(Bytes::new, |v| Bytes::from(v.to_string()));
+        let body = call.value.map_or_else(Bytes::new, |v| Bytes::from(v.to_string()));
         let mut req = Request::builder()
             .method(call.method.clone())
             .uri(call.path)
