--- /dev/null
+++ b/crates/gateway/tests/decisions.rs
@@ -0,0 +1,180 @@
+//! Leases, freshness, session values and messages between instances.
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::rc::Rc;
+use std::time::Duration;
+use wasabiyard_gateway::control::{DutyRecord, DutyView};
+use wasabiyard_gateway::peer::Envelope;
+use wasabiyard_gateway::traffic::{Candidate, ReplicaLag, choose, required_point};
+use wasabiyard_gateway::{Directory, PeerMessage, PrimaryRecord, PrimaryView, Profile, SessionValues, VIEW_LEASE};
+use wasabiyard_model::{Incarnation, InstanceId, LogPoint, Time, Version};
+
+const START: Time = Time::from_millis(100_000);
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Another instance may promote once the lease of this one has ended.
+#[test]
+fn a_primary_is_not_used_after_the_view_lease() {
+    let mut directory = Directory {
+        records_proved: START,
+        ..Directory::default()
+    };
+    directory.primaries.insert("members".into(), PrimaryRecord::first("p".into()));
+    let last = START + VIEW_LEASE - Duration::from_millis(1);
+    assert!(matches!(directory.primary("members", last), PrimaryView::Usable { .. }));
+    assert_eq!(directory.primary("members", START + VIEW_LEASE), PrimaryView::Unproved);
+}
+
+/// A key that was withdrawn must not work at an instance that cannot read the configuration.
+#[test]
+fn keys_are_not_trusted_without_a_recent_configuration() {
+    let directory = Directory {
+        configuration: Some(std::sync::Arc::default()),
+        configuration_proved: START,
+        ..Directory::default()
+    };
+    let bound = Duration::from_millis(4_500);
+    assert!(directory.keys_are_current(bound, START + Duration::from_millis(4_499)));
+    assert!(!directory.keys_are_current(bound, START + bound));
+}
+
+/// A promotion may roll back a session's commit; asking for it would wait for ever.
+#[test]
+fn a_point_of_an_earlier_term_is_covered_by_a_newer_sample() {
+    let own = LogPoint::new(3, 1_209);
+    assert_eq!(required_point(Some(own), LogPoint::new(4, 1_200)), LogPoint::new(4, 1_200));
+    assert_eq!(required_point(Some(own), LogPoint::new(3, 1_200)), own);
+    assert_eq!(required_point(Some(own), LogPoint::new(3, 1_300)), LogPoint::new(3, 1_300));
+    assert_eq!(required_point(Some(own), LogPoint::new(2, 1_300)), own);
+}
+
+fn duty(holder: &str, fence: u64) -> DutyRecord {
+    DutyRecord {
+        holder: holder.into(),
+        incarnation: Incarnation(1),
+        fence,
+        renewals: 0,
+        released: false,
+    }
+}
+
+/// A holder whose renewals fail must have stopped acting before another one starts.
+#[test]
+fn two_instances_never_act_on_the_duty_at_once() {
+    let mut holder = DutyView::default();
+    holder.on_written(Version(7), duty("a", 3), START, START);
+    let mut other = DutyView::default();
+    other.on_read(Some((Version(7), duty("a", 3))), START);
+    for millis in 0..10_000 {
+        let now = START + Duration::from_millis(millis);
+        let acts = holder.fence("a", Incarnation(1), now).is_some();
+        let takes = other.due(&"b".into(), Incarnation(9), 0, PERIOD, now);
+        assert!(!(acts && takes.is_some()), "both at {millis} ms");
+        if let Some(record) = takes {
+            assert_eq!(record.fence, 4);
+        }
+    }
+    let late = START + Duration::from_secs(4);
+    assert!(other.due(&"b".into(), Incarnation(9), 0, PERIOD, late).is_some());
+}
+
+/// A new process under the holder's name knows that the old one has ended, but must not use its fencing number.
+#[test]
+fn a_restarted_holder_takes_the_duty_with_a_higher_fence() {
+    let mut view = DutyView::default();
+    view.on_read(Some((Version(7), duty("a", 3))), START);
+    assert_eq!(view.fence("a", Incarnation(2), START), None);
+    let record = view.due(&"a".into(), Incarnation(2), 5, PERIOD, START);
+    assert_eq!(record.map(|r| r.fence), Some(4));
+}
+
+#[test]
+fn a_duty_that_was_given_up_is_taken_at_once_by_the_first_in_line() {
+    let mut record = duty("a", 3);
+    record.released = true;
+    let mut view = DutyView::default();
+    view.on_read(Some((Version(8), record)), START);
+    assert!(view.due(&"b".into(), Incarnation(1), 0, PERIOD, START).is_some());
+    assert!(view.due(&"c".into(), Incarnation(1), 1, PERIOD, START).is_none());
+}
+
+fn values(pairs: &[(&str, &str)]) -> SessionValues {
+    pairs.iter().map(|(n, v)| (Rc::from(*n), Rc::from(*v))).collect()
+}
+
+/// A value that another session left on a connection must not be seen.
+#[test]
+fn values_of_another_session_are_dropped() {
+    let profile = Profile {
+        values: values(&[("lang", "lv"), ("page", "9")]),
+        ..Profile::default()
+    };
+    let adjustment = profile.adjustment(&values(&[("lang", "lv")]));
+    assert!(adjustment.reset);
+    assert_eq!(adjustment.set, [(Rc::from("lang"), Rc::from("lv"))]);
+    let adjustment = profile.adjustment(&values(&[("lang", "en"), ("page", "9")]));
+    assert!(!adjustment.reset);
+    assert_eq!(adjustment.set, [(Rc::from("lang"), Rc::from("en"))]);
+}
+
+#[test]
+fn datagrams_of_others_are_not_read() {
+    let envelope = Envelope {
+        from: InstanceId::from("a"),
+        incarnation: Incarnation(1),
+        message: PeerMessage::Released {
+            service: "members".into(),
+            epoch: 4,
+        },
+    };
+    let sealed = envelope.seal(b"secret");
+    assert_eq!(Envelope::open(&sealed, b"secret").expect("authentic"), envelope);
+    assert!(Envelope::open(&sealed, b"other").is_err());
+    let mut changed = sealed.clone();
+    changed[3] ^= 1;
+    assert!(Envelope::open(&changed, b"secret").is_err());
+    assert!(Envelope::open(&sealed[..8], b"secret").is_err());
+}
+
+fn candidate(primary: bool, millis: u64, available: bool) -> Candidate {
+    Candidate {
+        primary,
+        local: true,
+        latency: Duration::from_millis(millis),
+        running: 0,
+        connected: true,
+        available,
+        holds_point: true,
+    }
+}
+
+/// One database that is five times slower must not get an equal part of the reads.
+#[test]
+fn reads_avoid_a_slow_server_and_never_choose_a_busy_one() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let slow = [candidate(false, 100, true), candidate(false, 20, true), candidate(true, 20, true)];
+    for _ in 0..100 {
+        assert_eq!(choose(&slow, &mut rng), Some(1));
+    }
+    let busy = [candidate(false, 100, true), candidate(false, 20, false)];
+    assert_eq!(choose(&busy, &mut rng), Some(0));
+    assert_eq!(choose(&[candidate(false, 1, false)], &mut rng), None);
+}
+
+/// A replica that falls behind is not asked for points that it cannot have, and is asked again once it has caught up.
+#[test]
+fn lag_is_learned_from_refusals() {
+    let mut lag = ReplicaLag::default();
+    let point = LogPoint::new(1, 50);
+    let reached = Some(START);
+    let soon = START + Duration::from_millis(200);
+    assert!(lag.expects(None, point, reached, soon));
+    lag.on_refused(Duration::from_millis(400));
+    assert!(!lag.expects(None, point, reached, soon));
+    assert!(lag.expects(Some(LogPoint::new(1, 50)), point, reached, soon));
+    for _ in 0..40 {
+        lag.on_served(Duration::from_millis(60));
+    }
+    assert!(lag.expects(None, point, reached, soon));
+}
