--- a/crates/gateway/src/backend_server.rs
+++ b/crates/gateway/src/backend_server.rs
@@ -1,10 +1,11 @@
 //! Backend servers as service discovery lists them.
 
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// What a backend server says of its part in replication.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Role {
     /// Accepts writes.
     Primary,
@@ -13,7 +14,7 @@
 }
 
 /// A listed backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
     /// Id, unique over time unless the server starts again.
     pub id: Arc<str>,
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -1,6 +1,7 @@
 //! The loops of the control thread.
 
 use super::state::State;
+use crate::view::{ViewMark, ViewPage};
 use crate::{Connector, Directory, Discovery, PeerMessage, PrimaryRecord, Promoter, clock};
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -37,6 +38,31 @@
         /// Ids of the servers.
         unreachable: Vec<Arc<str>>,
     },
+    /// A follower asks for what has changed.
+    ViewAsk {
+        /// The follower.
+        from: InstanceId,
+        /// Number of the question.
+        question: u64,
+        /// What the follower knows.
+        mark: ViewMark,
+    },
+    /// A relay answers.
+    ViewAnswer {
+        /// Number of the question.
+        question: u64,
+        /// The changes.
+        page: ViewPage,
+    },
+}
+
+/// A message of the control thread to other instances.
+#[derive(Debug, Clone)]
+pub enum Outgoing {
+    /// To one of them.
+    One(InstanceId, PeerMessage),
+    /// To these.
+    Many(Vec<InstanceId>, PeerMessage),
 }
 
 /// Settings of the control thread.
@@ -55,8 +81,8 @@
     pub changed: Sender<()>,
     /// What the traffic thread tells.
     pub events: Receiver<ControlEvent>,
-    /// Messages to all other instances.
-    pub broadcast: Sender<PeerMessage>,
+    /// Messages to other instances.
+    pub outgoing: Sender<Outgoing>,
     /// Closed when the process stops.
     pub stop: Receiver<()>,
 }
@@ -110,6 +136,7 @@
     {
         let run = move || {
             let (platform, discovery, promoter, connector) = open();
+            let incarnation = settings.instance.incarnation.0;
             let control = Rc::new(Self {
                 platform,
                 discovery,
@@ -117,7 +144,7 @@
                 connector,
                 settings,
                 wiring,
-                state: RefCell::default(),
+                state: RefCell::new(State::new(incarnation)),
             });
             let executor = Rc::new(LocalExecutor::new());
             async_io::block_on(executor.run(control.run(Rc::clone(&executor))));
@@ -134,6 +161,7 @@
         executor.spawn(Rc::clone(&self).poll_servers()).detach();
         executor.spawn(Rc::clone(&self).poll_domains()).detach();
         executor.spawn(Rc::clone(&self).take_events()).detach();
+        executor.spawn(Rc::clone(&self).follow_relays()).detach();
         executor.spawn(Rc::clone(&self).keep_duty()).detach();
         executor
             .spawn(Rc::clone(&self).watch_primaries(Rc::clone(&executor)))
@@ -159,6 +187,8 @@
                     let known = state.released.entry((from, service)).or_default();
                     *known = epoch.max(*known);
                 }
+                ControlEvent::ViewAsk { from, question, mark } => self.on_view_ask(from, question, mark),
+                ControlEvent::ViewAnswer { question, page } => self.on_view_answer(question, page),
                 ControlEvent::Report { from, unreachable } => {
                     let mut state = self.state.borrow_mut();
                     state.heard.insert(from.clone(), now);
@@ -168,6 +198,13 @@
         }
     }
 
+    /// Hands a message to the traffic thread. All messages are repeated, so a full queue only delays them.
+    pub(super) fn send(&self, outgoing: Outgoing) {
+        if let Err(e) = self.wiring.outgoing.try_send(outgoing) {
+            log::debug!(error:% = e; "a message to another instance was dropped");
+        }
+    }
+
     /// Makes the present directory visible to the traffic thread.
     pub(super) fn publish(&self) {
         let directory = Arc::new(self.state.borrow().directory.clone());
--- a/crates/gateway/src/control/duty_loop.rs
+++ b/crates/gateway/src/control/duty_loop.rs
@@ -1,15 +1,17 @@
 //! Taking, renewing and giving up the failover duty, and keeping the register of instances tidy.
 
 use super::control_loop::Control;
+use super::duty::DutyRecord;
 use super::poll::RECORDS_PERIOD;
 use super::records;
 use super::state::State;
+use crate::view::relays_of;
 use crate::{Connector, Discovery, Promoter, clock};
 use async_io::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{Time, Version};
 use wasabiyard_platform::{Expect, Platform};
 
 /// Period of the duty's renewal.
@@ -17,7 +19,7 @@
 /// Period of looking whether the duty is due.
 const TICK: Duration = Duration::from_millis(60);
 /// An instance that is silent for this long is taken off the register.
-const SILENT_INSTANCE: Duration = Duration::from_secs(12);
+const SILENT_INSTANCE: Duration = Duration::from_secs(8);
 
 impl<P, D, M, C> Control<P, D, M, C>
 where
@@ -37,12 +39,10 @@
                 if state.stopping || !state.directory.view_lease_holds(now) {
                     continue;
                 }
-                let rank = state
-                    .directory
-                    .members
-                    .iter()
-                    .position(|m| m.id.as_str() == &*me)
-                    .unwrap_or(0);
+                let directory = &state.directory;
+                let relays = relays_of(&directory.members, None);
+                let rank = relays.iter().position(|m| m.id.as_str() == &*me);
+                let rank = rank.unwrap_or(directory.members.len());
                 let due = state.duty.due(&me, incarnation, rank, RENEWAL_PERIOD, now);
                 let version = state.duty.record().map(|(v, _)| *v);
                 (due, version.map_or(Expect::Absent, Expect::Version))
@@ -53,12 +53,15 @@
             let value = serde_json::json!(record);
             match self.platform.put(&records::duty_key(), expect, &value).await {
                 Ok(version) => {
-                    if record.renewals == 0 {
+                    let taken = record.renewals == 0;
+                    if taken {
                         log::info!(fence = record.fence; "holds the failover duty");
                     }
-                    let mut state = self.state.borrow_mut();
-                    state.duty.on_written(version, record, now, clock::now());
-                    self.tidy_members(&mut state, now);
+                    self.on_duty_written(version, record, now);
+                    if taken {
+                        // The versions of the records are needed before any of them can be changed.
+                        self.read_records().await;
+                    }
                 }
                 Err(e) => {
                     log::info!(error:% = e; "the failover duty was not renewed or taken");
@@ -69,6 +72,15 @@
         }
     }
 
+    fn on_duty_written(&self, version: Version, record: DutyRecord, sent: Time) {
+        let mut state = self.state.borrow_mut();
+        state.duty.on_written(version, record, sent, clock::now());
+        state.directory.duty_holder = state.duty.holder().map(Arc::clone);
+        self.tidy_members(&mut state, sent);
+        drop(state);
+        self.publish();
+    }
+
     fn tidy_members(&self, state: &mut State, now: Time) {
         let me = &self.settings.instance.id;
         state.heard.insert(me.clone(), now);
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -3,8 +3,10 @@
 //! Each step starts from the record in the store, so that another holder can go on after any of them.
 
 use super::control_loop::Control;
+use super::control_loop::Outgoing;
 use super::failover::{CandidateStatus, candidates, choose_candidate, needs_move, newest};
 use super::records;
+use super::state::LEASE_MARGIN;
 use crate::directory::VIEW_LEASE;
 use crate::{
     Connected, Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionAnswer,
@@ -16,17 +18,17 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{InstanceId, LogPoint, Time};
 use wasabiyard_platform::{Expect, Platform, PlatformError};
 
 /// Period of looking at the primaries.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
 /// Period of asking whether a step has taken effect.
 const STEP_PERIOD: Duration = Duration::from_millis(40);
+/// Period of telling a new record again to instances that have not released the old primary.
+const TELL_PERIOD: Duration = Duration::from_millis(160);
 /// Longest time for one question to a server.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Added to the view lease before an instance that did not answer counts as stopped.
-const LEASE_MARGIN: Duration = Duration::from_millis(250);
 /// Longest wait for replicas to receive what a primary that is leaving has.
 const CATCH_UP: Duration = Duration::from_millis(500);
 /// Longest wait for a promotion before it is ordered again.
@@ -177,8 +179,9 @@
     async fn wait_released(&self, service: &Arc<str>, record: &PrimaryRecord, from: &Arc<str>) {
         let started = clock::now();
         let end = started + VIEW_LEASE + LEASE_MARGIN;
+        let mut tell_at = started + TELL_PERIOD;
         loop {
-            let waiting = self.unreleased(service, record.epoch);
+            let waiting = self.unreleased(service, record.epoch).len();
             if waiting == 0 {
                 break;
             }
@@ -186,31 +189,45 @@
                 log::info!(service:% = service, waiting; "view leases have ended");
                 break;
             }
-            self.tell(service, record);
+            if clock::now() >= tell_at {
+                let waiting = self.unreleased(service, record.epoch);
+                self.tell(service, record, waiting);
+                tell_at = clock::now() + TELL_PERIOD;
+            }
             Timer::after(STEP_PERIOD).await;
         }
         let took_ms = clock::now().saturating_since(started).as_millis() as u64;
         log::info!(service:% = service, server:% = from, took_ms; "old primary is not used any more");
     }
 
-    fn unreleased(&self, service: &Arc<str>, epoch: u64) -> usize {
+    /// Instances that may still use a primary of an earlier epoch.
+    fn unreleased(&self, service: &Arc<str>, epoch: u64) -> Vec<InstanceId> {
+        let now = clock::now();
         let state = self.state.borrow();
-        let members = state.directory.members.iter();
+        let departed = state.departed.iter();
+        let departed = departed.filter(|(_, until)| now < **until).map(|(id, _)| id);
+        let members = state.directory.members.iter().map(|m| &m.id);
         members
-            .filter(|m| {
-                let key = (m.id.clone(), Arc::clone(service));
+            .chain(departed)
+            .filter(|id| {
+                let key = (InstanceId::clone(id), Arc::clone(service));
                 state.released.get(&key).is_none_or(|e| *e < epoch)
             })
-            .count()
+            .cloned()
+            .collect()
     }
 
-    fn tell(&self, service: &Arc<str>, record: &PrimaryRecord) {
+    fn tell(&self, service: &Arc<str>, record: &PrimaryRecord, to: Vec<InstanceId>) {
         let message = PeerMessage::Recorded {
             service: Arc::clone(service),
             record: record.clone(),
         };
-        // A full queue only delays the news, which is told again.
-        drop(self.wiring.broadcast.try_send(message));
+        self.send(Outgoing::Many(to, message));
+    }
+
+    fn members(&self) -> Vec<InstanceId> {
+        let state = self.state.borrow();
+        state.directory.members.iter().map(|m| m.id.clone()).collect()
     }
 
     /// Makes the old primary refuse writes, if it can be reached. Returns its log point.
@@ -330,7 +347,7 @@
             state.adopt(Arc::clone(service), next.clone())
         };
         self.publish();
-        self.tell(service, &next);
+        self.tell(service, &next, self.members());
         Ok(())
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,12 +4,13 @@
 mod duty;
 mod duty_loop;
 mod failover;
+mod follow;
 mod leadership_task;
 mod pace;
 mod poll;
 mod records;
 mod state;
 
-pub use control_loop::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring};
+pub use control_loop::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring, Outgoing};
 pub use duty::{DutyRecord, DutyView};
 pub use failover::{CandidateStatus, MoveReason, Reports, choose_candidate, needs_move};
--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -3,17 +3,18 @@
 use super::control_loop::Control;
 use super::pace::{Pace, RETRY_PAUSE};
 use super::records::{self, Records, SecretRecord};
+use crate::view::{ViewKey, ViewValue};
 use crate::{BackendServer, Configuration, Connector, Directory, Discovery, Promoter, clock};
 use async_io::Timer;
 use rand::Rng;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::Time;
-use wasabiyard_platform::{Expect, Platform};
+use wasabiyard_model::{Time, Version};
+use wasabiyard_platform::{Expect, Object, Platform, PlatformError};
 
 /// Period of reading the configuration. Keys must stop working within seconds.
-const CONFIGURATION_PERIOD: Duration = Duration::from_millis(900);
+pub(super) const CONFIGURATION_PERIOD: Duration = Duration::from_millis(900);
 /// Period of reading the own records. Must be well below the view lease.
 pub(super) const RECORDS_PERIOD: Duration = Duration::from_millis(900);
 /// Period of reading the list of backend servers.
@@ -31,16 +32,28 @@
     pub(super) async fn poll_configuration(self: Rc<Self>) {
         let mut pace = Pace::new(CONFIGURATION_PERIOD, "configuration");
         loop {
-            let asked = clock::now();
-            let result = self.discovery.configuration().await;
-            if let Some(configuration) = pace.settle(result) {
-                self.take_configuration(configuration, asked);
-                self.publish();
+            let proved = self.state.borrow().directory.configuration_proved;
+            if !self.is_followed(proved, CONFIGURATION_PERIOD) {
+                let asked = clock::now();
+                let result = self.discovery.configuration().await;
+                if let Some(configuration) = pace.settle(result) {
+                    self.take_configuration(configuration, asked);
+                    self.publish();
+                }
             }
             pace.wait().await;
         }
     }
 
+    /// Reads the configuration once, because a relay has a newer one.
+    pub(super) async fn read_configuration(&self) {
+        let asked = clock::now();
+        match self.discovery.configuration().await {
+            Ok(configuration) => self.take_configuration(configuration, asked),
+            Err(e) => log::info!(error:% = e; "a newer configuration cannot be read"),
+        }
+    }
+
     fn take_configuration(&self, configuration: Option<Arc<Configuration>>, asked: Time) {
         let mut state = self.state.borrow_mut();
         let directory = &mut state.directory;
@@ -52,24 +65,34 @@
         directory.configuration_proved = asked;
     }
 
-    fn take_servers(&self, servers: Vec<BackendServer>, now: Time) {
+    fn take_servers(&self, servers: Vec<BackendServer>, asked: Time) {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         log_server_changes(&state.directory, &servers);
+        let parts = servers
+            .iter()
+            .map(|s| (ViewKey::Server(Arc::clone(&s.id)), ViewValue::Server(s.clone())));
+        let parts = parts.collect();
+        state.view.replace(|k| matches!(k, ViewKey::Server(_)), parts);
         state.directory.servers = servers
             .into_iter()
             .map(|s| (Arc::clone(&s.id), Arc::new(s)))
             .collect();
-        state.reports.on_listed(&state.directory, now);
+        state.directory.servers_proved = asked;
+        state.reports.on_listed(&state.directory, clock::now());
     }
 
     pub(super) async fn poll_servers(self: Rc<Self>) {
         let mut pace = Pace::new(SERVERS_PERIOD, "servers");
         loop {
-            let result = self.discovery.backend_servers().await;
-            if let Some(servers) = pace.settle(result) {
-                self.take_servers(servers, clock::now());
-                self.publish();
+            let proved = self.state.borrow().directory.servers_proved;
+            if !self.is_followed(proved, SERVERS_PERIOD) {
+                let asked = clock::now();
+                let result = self.discovery.backend_servers().await;
+                if let Some(servers) = pace.settle(result) {
+                    self.take_servers(servers, asked);
+                    self.publish();
+                }
             }
             pace.wait().await;
         }
@@ -78,34 +101,45 @@
     pub(super) async fn poll_domains(self: Rc<Self>) {
         let mut pace = Pace::new(DOMAINS_PERIOD, "failure domains");
         loop {
-            let result = self.discovery.domains_out().await;
-            if let Some(domains) = pace.settle(result) {
-                let changed = self.state.borrow().directory.domains_out != domains;
-                if changed {
-                    log::info!(out:? = domains; "failure domains out of service");
-                    self.state.borrow_mut().directory.domains_out = domains;
-                    self.publish();
+            let proved = self.state.borrow().directory.domains_proved;
+            if !self.is_followed(proved, DOMAINS_PERIOD) {
+                let asked = clock::now();
+                let result = self.discovery.domains_out().await;
+                if let Some(domains) = pace.settle(result) {
+                    self.take_domains(domains, asked);
                 }
             }
             pace.wait().await;
         }
     }
 
+    fn take_domains(&self, domains: Vec<Arc<str>>, asked: Time) {
+        let mut state = self.state.borrow_mut();
+        state.directory.domains_proved = asked;
+        if state.directory.domains_out == domains {
+            return;
+        }
+        log::info!(out:? = domains; "failure domains out of service");
+        let parts = domains
+            .iter()
+            .map(|d| (ViewKey::DomainOut(Arc::clone(d)), ViewValue::DomainOut));
+        let parts = parts.collect();
+        state.view.replace(|k| matches!(k, ViewKey::DomainOut(_)), parts);
+        state.directory.domains_out = domains;
+        drop(state);
+        self.publish();
+    }
+
     pub(super) async fn poll_records(self: Rc<Self>) {
         let mut pace = Pace::new(RECORDS_PERIOD, "records");
         loop {
-            let asked = clock::now();
-            let result = self.platform.list(records::KIND).await;
-            if let Some(changes) = pace.settle(result) {
-                let records = Records::read(&changes.objects);
-                let registered = self.is_registered(&records);
-                let secret = records.secret.is_some();
-                self.take_records(records, asked, registered);
-                if !secret {
-                    self.create_secret().await;
-                }
-                if !registered {
-                    self.register().await;
+            let proved = self.state.borrow().directory.records_proved;
+            if !self.is_followed(proved, RECORDS_PERIOD) {
+                let asked = clock::now();
+                let result = self.platform.list(records::KIND).await;
+                if let Some(changes) = pace.settle(result)
+                    && !self.on_records(&changes.objects, asked).await
+                {
                     // The list has to be read again before it proves anything.
                     continue;
                 }
@@ -114,38 +148,56 @@
         }
     }
 
+    /// Reads the records once.
+    pub(super) async fn read_records(&self) {
+        let asked = clock::now();
+        match self.platform.list(records::KIND).await {
+            Ok(changes) => {
+                self.on_records(&changes.objects, asked).await;
+            }
+            Err(e) => log::info!(error:% = e; "the records cannot be read"),
+        }
+    }
+
+    /// Takes over what the store has. Returns whether this instance is registered.
+    async fn on_records(&self, objects: &[Object], asked: Time) -> bool {
+        let records = Records::read(objects);
+        let registered = self.is_registered(&records);
+        let secret = records.secret.is_some();
+        self.take_records(records, asked, registered);
+        if !secret {
+            self.create_secret().await;
+        }
+        if !registered {
+            self.register().await;
+        }
+        registered
+    }
+
     /// Takes over the records. They prove the view only once this instance is registered, so that whoever replaces a
     /// primary waits for it.
     fn take_records(&self, records: Records, asked: Time, registered: bool) {
         let now = clock::now();
-        {
-            let mut state = self.state.borrow_mut();
-            state.duty.on_read(records.duty, now);
-            for (service, (version, record)) in records.primaries {
-                state.versions.insert(Arc::clone(&service), version);
-                state.adopt(service, record);
-            }
-            state.instance_versions = records
-                .instances
-                .iter()
-                .map(|(n, (v, _))| (Arc::clone(n), *v))
-                .collect();
-            let mut members: Vec<_> = records.instances.into_values().map(|(_, m)| m).collect();
-            members.sort_by(|a, b| a.id.cmp(&b.id));
-            for member in &members {
-                state.heard.entry(member.id.clone()).or_insert(now);
-            }
-            let holder = state.duty.holder().map(Arc::clone);
-            let directory = &mut state.directory;
-            directory.members = members;
-            directory.duty_holder = holder;
-            if let Some(secret) = records.secret {
-                directory.peer_secret = Some(Arc::from(secret.key.as_bytes()));
-            }
-            if registered {
-                directory.records_proved = asked;
-            }
+        let mut state = self.state.borrow_mut();
+        let parts = view_parts(&records);
+        state.view.replace(is_record, parts);
+        state.duty.on_read(records.duty, now);
+        for (service, (version, record)) in records.primaries {
+            state.versions.insert(Arc::clone(&service), version);
+            state.adopt(service, record);
+        }
+        let instances = records.instances.iter();
+        state.instance_versions = instances.map(|(n, (v, _))| (Arc::clone(n), *v)).collect();
+        let members = records.instances.into_values().map(|(_, m)| m).collect();
+        state.take_members(members, now);
+        let directory = &mut state.directory;
+        if let Some(secret) = records.secret {
+            directory.peer_secret = Some(Arc::from(secret.key.as_bytes()));
         }
+        if registered {
+            directory.records_proved = asked;
+        }
+        drop(state);
         self.publish();
     }
 
@@ -165,6 +217,11 @@
         let value = serde_json::json!(me);
         match self.platform.put(&key, expect, &value).await {
             Ok(version) => log::info!(version:% = version; "registered"),
+            Err(PlatformError::Conflict { found, .. }) if found != Version(0) => {
+                // An earlier process of this name left its entry.
+                let name = Arc::from(me.id.as_str());
+                self.state.borrow_mut().instance_versions.insert(name, found);
+            }
             Err(e) => {
                 log::info!(error:% = e; "cannot register");
                 Timer::after(RETRY_PAUSE).await;
@@ -186,6 +243,28 @@
     }
 }
 
+const fn is_record(key: &ViewKey) -> bool {
+    matches!(key, ViewKey::Member(_) | ViewKey::Primary(_) | ViewKey::Duty)
+}
+
+fn view_parts(records: &Records) -> Vec<(ViewKey, ViewValue)> {
+    let members = records
+        .instances
+        .iter()
+        .map(|(name, (_, m))| (ViewKey::Member(Arc::clone(name)), ViewValue::Member(m.clone())));
+    let primaries = records.primaries.iter().map(|(service, (_, r))| {
+        (
+            ViewKey::Primary(Arc::clone(service)),
+            ViewValue::Primary(r.clone()),
+        )
+    });
+    let duty = records
+        .duty
+        .iter()
+        .map(|(version, record)| (ViewKey::Duty, ViewValue::Duty(*version, record.clone())));
+    members.chain(primaries).chain(duty).collect()
+}
+
 fn log_server_changes(directory: &Directory, servers: &[BackendServer]) {
     for server in servers {
         let known = directory.servers.get(&server.id);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -9,7 +9,7 @@
 
 /// Longest use of a primary after the records were last read. An instance that cannot read them any more must have
 /// stopped before another one may rely on it.
-pub const VIEW_LEASE: Duration = Duration::from_millis(3_500);
+pub const VIEW_LEASE: Duration = Duration::from_secs(4);
 
 /// Whether a service has a primary that may be used now.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -38,8 +38,12 @@
     pub configuration_proved: Time,
     /// Listed backend servers by id.
     pub servers: HashMap<Arc<str>, Arc<BackendServer>>,
+    /// When the servers were last asked for and read.
+    pub servers_proved: Time,
     /// Failure domains out of service.
     pub domains_out: Vec<Arc<str>>,
+    /// When the failure domains were last asked for and read.
+    pub domains_proved: Time,
     /// Primaries by service.
     pub primaries: HashMap<Arc<str>, PrimaryRecord>,
     /// Registered instances, this one included.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,9 +1,9 @@
 //! A running instance: the traffic of callers, messages between instances, and the control thread.
 
-use crate::control::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring};
+use crate::control::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring, Outgoing};
 use crate::peer::{Envelope, PeerSocket};
 use crate::rate::RateBook;
-use crate::traffic::{Pool, PoolSettings, Session, SessionContext, SessionSettings};
+use crate::traffic::{AdmissionGate, Pool, PoolSettings, Session, SessionContext, SessionSettings};
 use crate::{
     CallerLink, ConnectionError, Connector, Directory, Discovery, PeerMessage, Phase, Promoter, clock,
 };
@@ -18,13 +18,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{Incarnation, InstanceId, Time, Version};
+use wasabiyard_model::{InstanceId, Time, Version};
 use wasabiyard_platform::{ListedInstance, Platform};
 
 /// Messages between the threads that may wait. All of them are repeated.
 const MAX_PENDING_MESSAGES: usize = 256;
-/// Period of telling peers what callers ask for.
+/// Shortest period of reporting to the instance that replaces primaries.
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
+/// Period of reporting for each instance of the fleet, so that one instance can take all reports.
+const REPORT_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(4);
 /// Period of looking for what has expired.
 const TICK: Duration = Duration::from_millis(20);
 /// Longest time for a caller to say who it is.
@@ -66,8 +68,8 @@
     NotReady(&'static str),
 }
 
-/// Version of the configuration and the peers that the rates were computed from.
-type RateInputs = (Option<Version>, Vec<(InstanceId, Incarnation)>);
+/// Version of the configuration and the instances that the rates were computed from.
+type RateInputs = (Option<Version>, Vec<InstanceId>);
 
 /// An instance.
 pub struct Gateway<C>
@@ -77,9 +79,9 @@
     settings: GatewaySettings,
     cx: Rc<SessionContext<C>>,
     pool: Rc<Pool<C>>,
-    rates: Rc<RefCell<RateBook>>,
+    gate: Rc<AdmissionGate>,
     directory: Arc<ArcSwap<Directory>>,
-    socket: PeerSocket,
+    peers: Peers,
     events: Sender<ControlEvent>,
     executor: Rc<LocalExecutor<'static>>,
     control: RefCell<Option<ControlHandle>>,
@@ -126,24 +128,23 @@
         K: Connector + 'static,
         F: FnOnce() -> (P, D, M, K) + Send + 'static,
     {
-        let now = clock::now();
         let directory = Arc::new(ArcSwap::from_pointee(Directory::default()));
         let (changed_tx, changed) = async_channel::bounded(1);
         let (events, events_rx) = async_channel::bounded(MAX_PENDING_MESSAGES);
-        let (broadcast_tx, broadcast) = async_channel::bounded(MAX_PENDING_MESSAGES);
+        let (outgoing_tx, outgoing) = async_channel::bounded(MAX_PENDING_MESSAGES);
         let (stop_control, stop) = async_channel::bounded(1);
         let wiring = ControlWiring {
             directory: Arc::clone(&directory),
             changed: changed_tx,
             events: events_rx,
-            broadcast: broadcast_tx,
+            outgoing: outgoing_tx,
             stop,
         };
         let control_settings = ControlSettings {
             instance: settings.instance.clone(),
         };
         let me = &settings.instance;
-        let socket = PeerSocket::bind(settings.peers, me.id.clone(), me.incarnation)?;
+        let socket = Rc::new(PeerSocket::bind(settings.peers, me.id.clone(), me.incarnation)?);
         let control = Control::spawn(control_settings, wiring, open_edges)?;
         let pool = Pool::new(
             connector,
@@ -153,10 +154,17 @@
             },
             Rc::clone(executor),
         );
-        let rates = Rc::new(RefCell::new(RateBook::new(settings.rate_tolerance, now)));
+        let rates = RateBook::new(me.id.clone(), settings.rate_tolerance);
+        let peers = Peers {
+            socket,
+            directory: Arc::clone(&directory),
+        };
+        let gate_peers = peers.clone();
+        let send_to = move |to: &InstanceId, message| gate_peers.send(to, &message);
+        let gate = Rc::new(AdmissionGate::new(rates, Box::new(send_to)));
         let cx = Rc::new(SessionContext {
             pool: Rc::clone(&pool),
-            rates: Rc::clone(&rates),
+            gate: Rc::clone(&gate),
             executor: Rc::clone(executor),
             settings: SessionSettings {
                 key_lifetime: settings.key_lifetime,
@@ -166,9 +174,9 @@
             settings,
             cx,
             pool,
-            rates,
+            gate,
             directory,
-            socket,
+            peers,
             events,
             executor: Rc::clone(executor),
             control: RefCell::new(Some(control)),
@@ -183,7 +191,7 @@
             .spawn(Rc::clone(&gateway).follow_directory(changed))
             .detach();
         executor
-            .spawn(Rc::clone(&gateway).send_broadcasts(broadcast))
+            .spawn(Rc::clone(&gateway).send_outgoing(outgoing))
             .detach();
         executor.spawn(Rc::clone(&gateway).receive_from_peers()).detach();
         executor.spawn(Rc::clone(&gateway).report()).detach();
@@ -339,48 +347,45 @@
         let Some(configuration) = &directory.configuration else {
             return;
         };
-        let me = &self.settings.instance.id;
-        let peers: Vec<_> = directory
-            .members
-            .iter()
-            .filter(|m| m.id != *me)
-            .map(|m| (m.id.clone(), m.incarnation))
-            .collect();
-        let new = (Some(configuration.version), peers);
+        let members: Vec<_> = directory.members.iter().map(|m| m.id.clone()).collect();
+        let new = (Some(configuration.version), members);
         if *self.configured.borrow() == new {
             return;
         }
         let rules = configuration.organisations.values();
-        self.rates.borrow_mut().configure(rules, new.1.clone(), now);
+        let mut rates = self.gate.rates().borrow_mut();
+        rates.configure(rules, &new.1, now);
         *self.configured.borrow_mut() = new;
     }
 
-    async fn send_broadcasts(self: Rc<Self>, broadcast: Receiver<PeerMessage>) {
-        while let Ok(message) = broadcast.recv().await {
-            self.broadcast(&message);
+    async fn send_outgoing(self: Rc<Self>, outgoing: Receiver<Outgoing>) {
+        while let Ok(outgoing) = outgoing.recv().await {
+            match outgoing {
+                Outgoing::One(to, message) => self.peers.send(&to, &message),
+                Outgoing::Many(to, message) => {
+                    let me = &self.settings.instance.id;
+                    for to in to.iter().filter(|id| *id != me) {
+                        self.peers.send(to, &message);
+                    }
+                }
+            }
         }
     }
 
-    fn broadcast(&self, message: &PeerMessage) {
+    /// Sends a message to the instance that replaces primaries.
+    fn tell_duty_holder(&self, message: &PeerMessage) {
         let directory = self.pool.directory();
-        let Some(secret) = &directory.peer_secret else {
-            return;
-        };
-        let me = &self.settings.instance.id;
-        for member in directory.members.iter().filter(|m| m.id != *me) {
-            match member.address.parse() {
-                Ok(address) => self.socket.send(address, message.clone(), secret),
-                Err(e) => {
-                    log::warn!(instance:% = member.id, error:% = e; "unreadable address of an instance");
-                }
-            }
+        if let Some(holder) = &directory.duty_holder
+            && **holder != *self.settings.instance.id.as_str()
+        {
+            self.peers.send(&InstanceId::from(&**holder), message);
         }
     }
 
     async fn receive_from_peers(self: Rc<Self>) {
         let mut buf = Vec::new();
         loop {
-            if let Err(e) = self.socket.receive(&mut buf).await {
+            if let Err(e) = self.peers.socket.receive(&mut buf).await {
                 log::warn!(error:% = e; "the peer socket failed");
                 Timer::after(TICK).await;
                 continue;
@@ -399,12 +404,20 @@
     fn on_peer(&self, envelope: Envelope) {
         let from = envelope.from;
         match envelope.message {
-            PeerMessage::Report { demands, unreachable } => {
-                self.rates
-                    .borrow_mut()
-                    .hear(&from, envelope.incarnation, &demands);
+            PeerMessage::Report { unreachable } => {
                 self.tell_control(ControlEvent::Report { from, unreachable });
             }
+            PeerMessage::RateAsk {
+                question,
+                organisation,
+            } => self.gate.on_ask(&from, question, &organisation),
+            PeerMessage::RateAnswer { question, answer } => self.gate.on_answer(question, answer),
+            PeerMessage::ViewAsk { question, mark } => {
+                self.tell_control(ControlEvent::ViewAsk { from, question, mark });
+            }
+            PeerMessage::ViewAnswer { question, page } => {
+                self.tell_control(ControlEvent::ViewAnswer { question, page });
+            }
             PeerMessage::Recorded { service, record } => {
                 self.tell_control(ControlEvent::Recorded { service, record });
             }
@@ -422,12 +435,11 @@
 
     async fn report(self: Rc<Self>) {
         loop {
-            Timer::after(REPORT_PERIOD).await;
+            let fleet = self.pool.directory().fleet_size() as u32;
+            Timer::after(REPORT_PERIOD.max(REPORT_PERIOD_PER_INSTANCE * fleet)).await;
             let now = clock::now();
-            let demands = self.rates.borrow_mut().tick(now);
             let unreachable = self.pool.unreachable(now);
-            self.broadcast(&PeerMessage::Report {
-                demands,
+            self.tell_duty_holder(&PeerMessage::Report {
                 unreachable: unreachable.clone(),
             });
             self.tell_control(ControlEvent::Report {
@@ -446,7 +458,7 @@
     }
 
     fn tell_released(&self, service: &Arc<str>, epoch: u64) {
-        self.broadcast(&PeerMessage::Released {
+        self.tell_duty_holder(&PeerMessage::Released {
             service: Arc::clone(service),
             epoch,
         });
@@ -469,6 +481,29 @@
     }
 }
 
+/// Sends messages to registered instances.
+#[derive(Debug, Clone)]
+struct Peers {
+    socket: Rc<PeerSocket>,
+    directory: Arc<ArcSwap<Directory>>,
+}
+
+impl Peers {
+    fn send(&self, to: &InstanceId, message: &PeerMessage) {
+        let directory = self.directory.load();
+        let member = directory.members.binary_search_by(|m| m.id.cmp(to));
+        let (Ok(member), Some(secret)) = (member, &directory.peer_secret) else {
+            log::debug!(instance:% = to; "a message to an instance that is not registered was dropped");
+            return;
+        };
+        let member = &directory.members[member];
+        match member.address.parse() {
+            Ok(address) => self.socket.send(address, message.clone(), secret),
+            Err(e) => log::warn!(instance:% = to, error:% = e; "unreadable address of an instance"),
+        }
+    }
+}
+
 enum Next {
     Request(crate::Request),
     End,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! - `traffic` holds sessions, connection pools and the choice of a backend server.
 //! - `control` reads the store, registers the instance and replaces primaries.
 //! - `rate` shares the rates of organisations among instances.
+//! - `view` hands what was read from the store on to other instances.
 //! - `peer` carries messages between instances.
 //!
 //! Nothing here knows a wire format: [`CallerLink`], [`Connector`], [`Discovery`], [`Promoter`] and
@@ -25,6 +26,7 @@
 pub mod rate;
 mod statement;
 pub mod traffic;
+pub mod view;
 
 pub use answer::{Answer, Outcome, Phase};
 pub use backend_server::{BackendServer, Role};
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,6 +1,8 @@
 //! The messages and their authentication.
 
 use crate::PrimaryRecord;
+use crate::rate::RateAnswer;
+use crate::view::{ViewMark, ViewPage};
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
@@ -13,13 +15,39 @@
 /// A message to another instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// What callers of the sender ask for, and which backend servers do not answer it.
+    /// The sender runs, and these backend servers do not answer it. Sent to the holder of the failover duty.
     Report {
-        /// Operations a second by organisation; an organisation that is not named has none.
-        demands: Vec<(Arc<str>, f64)>,
         /// Ids of backend servers that do not answer the sender.
         unreachable: Vec<Arc<str>>,
     },
+    /// Asks the keeper of an organisation's rate for one operation.
+    RateAsk {
+        /// Number of the question.
+        question: u64,
+        /// The organisation.
+        organisation: Arc<str>,
+    },
+    /// The keeper's answer.
+    RateAnswer {
+        /// Number of the question.
+        question: u64,
+        /// The answer.
+        answer: RateAnswer,
+    },
+    /// Asks an instance that reads the store for what has changed.
+    ViewAsk {
+        /// Number of the question.
+        question: u64,
+        /// Up to which change the sender knows its view.
+        mark: ViewMark,
+    },
+    /// What has changed.
+    ViewAnswer {
+        /// Number of the question.
+        question: u64,
+        /// The changes.
+        page: ViewPage,
+    },
     /// A new record, told by the instance that wrote it to the store.
     Recorded {
         /// The service.
--- a/crates/gateway/src/rate/rate_book.rs
+++ b/crates/gateway/src/rate/rate_book.rs
@@ -1,179 +1,161 @@
-//! Token buckets of this instance, one for each organisation.
+//! What one instance knows of the rates: the buckets that it keeps, and its reserves at other keepers.
 
-use super::{Demand, PeerDemand, ShareInputs, share_of};
+use super::keeper::{Limits, LocalReserve, RESERVE_LIFE};
+use super::{RateAnswer, RateDecision, RateKeeper, keeper_of};
 use crate::OrganisationRule;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{Incarnation, InstanceId, Time};
+use wasabiyard_model::{InstanceId, Time};
 
-/// Weight of the newest interval in the smoothed demand.
-const DEMAND_WEIGHT: f64 = 0.3;
-/// Demand below this many operations a second is not told to peers.
-const QUIET_DEMAND: f64 = 0.05;
+/// Part of the rate that all instances together may spend without any answer of the keeper, within the tolerance that
+/// operators allow.
+const UNANSWERED_PART: f64 = 0.06;
+/// After this many missed answers in a row the keeper is asked less often.
+const MISSES_BEFORE_PAUSE: u32 = 2;
+/// Pause between questions to a keeper that does not answer.
+const PAUSE: Duration = Duration::from_millis(300);
 
-/// Whether an operation may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RateDecision {
-    /// It may run after this wait.
-    After(Duration),
-    /// The organisation is above its rate. A token is free after this time.
-    Refused {
-        /// When to come back.
-        retry_after: Duration,
-    },
+/// Part of a rate that may be spent without the keeper.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Reserve {
+    /// Operations a second.
+    pub rate: f64,
+    /// When it ends.
+    pub until: Time,
 }
 
 #[derive(Debug)]
-struct Bucket {
+struct Account {
     rule: Arc<OrganisationRule>,
-    share: f64,
-    tokens: f64,
-    updated: Time,
-    asked: u32,
-    demand: Demand,
-    peers: HashMap<InstanceId, (Incarnation, Demand)>,
+    keeper: Option<InstanceId>,
+    /// The bucket, when this instance is the keeper.
+    kept: Option<RateKeeper>,
+    local: LocalReserve,
+    misses: u32,
+    ask_after: Time,
 }
 
-/// The buckets.
+/// Accounts by organisation.
 #[derive(Debug)]
 pub struct RateBook {
-    buckets: HashMap<Arc<str>, Bucket>,
-    /// Operations beyond the burst that the operators tolerate, for the whole fleet.
+    me: InstanceId,
+    /// Operations beyond the burst that operators tolerate, for the whole fleet.
     tolerance: f64,
-    members: Vec<(InstanceId, Incarnation)>,
-    ticked: Time,
+    fleet: usize,
+    accounts: HashMap<Arc<str>, Account>,
 }
 
 impl RateBook {
-    /// An empty book. `tolerance` is the number of operations above rate and burst that the fleet may let pass.
-    pub fn new(tolerance: f64, now: Time) -> Self {
+    /// An empty book.
+    pub fn new(me: InstanceId, tolerance: f64) -> Self {
         Self {
-            buckets: HashMap::new(),
+            me,
             tolerance,
-            members: Vec::new(),
-            ticked: now,
+            fleet: 1,
+            accounts: HashMap::new(),
         }
     }
 
-    /// Takes over the rules of a configuration and the other registered instances.
-    pub fn configure<'a, R>(&mut self, rules: R, peers: Vec<(InstanceId, Incarnation)>, now: Time)
+    /// Takes over the rules of a configuration and the registered instances.
+    pub fn configure<'a, R>(&mut self, rules: R, members: &[InstanceId], now: Time)
     where
         R: Iterator<Item = &'a Arc<OrganisationRule>>,
     {
-        self.members = peers;
-        let mut old = std::mem::take(&mut self.buckets);
+        self.fleet = members.len().max(1);
+        let mut old = std::mem::take(&mut self.accounts);
         for rule in rules {
-            let bucket = match old.remove(&rule.name) {
-                Some(mut bucket) => {
-                    bucket.rule = Arc::clone(rule);
-                    bucket.peers.retain(|id, (incarnation, _)| {
-                        self.members.iter().any(|(m, i)| m == id && i == incarnation)
-                    });
-                    bucket
-                }
-                None => Bucket {
-                    rule: Arc::clone(rule),
-                    share: 0.0,
-                    tokens: 0.0,
-                    updated: now,
-                    asked: 0,
-                    demand: Demand::default(),
-                    peers: HashMap::new(),
-                },
+            let mut account = old.remove(&rule.name).unwrap_or_else(|| Account {
+                rule: Arc::clone(rule),
+                keeper: None,
+                kept: None,
+                local: LocalReserve::open(now),
+                misses: 0,
+                ask_after: now,
+            });
+            account.rule = Arc::clone(rule);
+            let keeper = keeper_of(&rule.name, members.iter()).cloned();
+            if keeper != account.keeper {
+                account.misses = 0;
+                account.ask_after = now;
+                account.keeper = keeper;
+            }
+            let limits = Limits {
+                rate: rule.rate,
+                cap: rule.burst + self.tolerance,
             };
-            self.buckets.insert(Arc::clone(&rule.name), bucket);
+            if account.keeper.as_ref() == Some(&self.me) {
+                account
+                    .kept
+                    .get_or_insert_with(|| RateKeeper::open(limits.rate, limits.cap, now))
+                    .set_limits(limits);
+            } else {
+                account.kept = None;
+            }
+            self.accounts.insert(Arc::clone(&rule.name), account);
         }
-        self.reshare(now);
     }
 
-    /// Takes one operation of an organisation. An operation whose token comes within `patience` is let in, to start
-    /// when the token is there.
-    pub fn take(&mut self, organisation: &str, patience: Duration, now: Time) -> RateDecision {
-        let tolerance = self.tolerance / (self.members.len() as f64 + 1.0);
-        let Some(bucket) = self.buckets.get_mut(organisation) else {
-            return RateDecision::Refused {
-                retry_after: Duration::from_secs(1),
-            };
-        };
-        bucket.asked += 1;
-        bucket.refill(tolerance, now);
-        let wait = bucket.wait_for_next();
-        if wait > patience {
-            return RateDecision::Refused { retry_after: wait };
+    /// The keeper to ask for an operation; `None` when this instance decides on its own.
+    pub fn keeper(&self, organisation: &str, now: Time) -> Option<InstanceId> {
+        let account = self.accounts.get(organisation)?;
+        if account.kept.is_some() || now < account.ask_after {
+            return None;
         }
-        bucket.tokens -= 1.0;
-        RateDecision::After(wait)
+        account.keeper.clone()
     }
 
-    /// Records what a peer says of its demand. Organisations that it does not name have none.
-    pub fn hear(&mut self, peer: &InstanceId, incarnation: Incarnation, demands: &[(Arc<str>, f64)]) {
-        if !self.members.iter().any(|(m, i)| m == peer && *i == incarnation) {
-            return;
-        }
-        for bucket in self.buckets.values_mut() {
-            let told = demands.iter().find(|(name, _)| *name == bucket.rule.name);
-            let demand = Demand(told.map_or(0.0, |(_, d)| d.max(0.0)));
-            bucket.peers.insert(peer.clone(), (incarnation, demand));
-        }
+    /// Decides on an operation of the asker `from`, when this instance is the keeper.
+    pub fn on_ask(
+        &mut self,
+        organisation: &str,
+        from: &InstanceId,
+        patience: Duration,
+        now: Time,
+    ) -> Option<RateAnswer> {
+        let kept = self.accounts.get_mut(organisation)?.kept.as_mut()?;
+        Some(kept.ask(from, patience, now))
     }
 
-    /// Smooths the demand since the last tick and computes the shares anew. Returns the demands to tell to peers.
-    pub fn tick(&mut self, now: Time) -> Vec<(Arc<str>, f64)> {
-        let span = now.saturating_since(self.ticked).as_secs_f64().max(0.001);
-        self.ticked = now;
-        for bucket in self.buckets.values_mut() {
-            let rate = f64::from(std::mem::take(&mut bucket.asked)) / span;
-            bucket.demand.0 += DEMAND_WEIGHT * (rate - bucket.demand.0);
+    /// Takes over the reserve of an answer to a question sent at `asked`.
+    pub fn on_answer(&mut self, organisation: &str, reserve: f64, asked: Time) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.misses = 0;
+            account.local.rate = reserve;
+            account.local.until = asked + RESERVE_LIFE;
         }
-        self.reshare(now);
-        let demanded = self.buckets.values().filter(|b| b.demand.0 >= QUIET_DEMAND);
-        demanded.map(|b| (Arc::clone(&b.rule.name), b.demand.0)).collect()
     }
 
-    fn reshare(&mut self, now: Time) {
-        let tolerance = self.tolerance / (self.members.len() as f64 + 1.0);
-        for bucket in self.buckets.values_mut() {
-            bucket.refill(tolerance, now);
-            let peers: Vec<_> = self
-                .members
-                .iter()
-                .map(|(id, _)| match bucket.peers.get(id) {
-                    Some(&(incarnation, demand)) => PeerDemand::Heard { incarnation, demand },
-                    None => PeerDemand::Unheard,
-                })
-                .collect();
-            bucket.share = share_of(ShareInputs {
-                own: bucket.demand,
-                peers: &peers,
-                rate: bucket.rule.rate,
-            });
-            bucket.tokens = bucket.tokens.min(bucket.cap(tolerance));
+    /// A question was not answered.
+    pub fn on_no_answer(&mut self, organisation: &str, now: Time) {
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.misses += 1;
+            if account.misses >= MISSES_BEFORE_PAUSE {
+                account.ask_after = now + PAUSE;
+            }
         }
     }
-}
-
-impl Bucket {
-    fn cap(&self, tolerance: f64) -> f64 {
-        self.rule.burst * self.share + tolerance
-    }
 
-    fn refill(&mut self, tolerance: f64, now: Time) {
-        let span = now.saturating_since(self.updated).as_secs_f64();
-        self.updated = now;
-        let filled = self.tokens + self.rule.rate * self.share * span;
-        self.tokens = filled.min(self.cap(tolerance));
+    /// Decides on an operation at this instance: from the bucket that it keeps, or from its reserve.
+    pub fn decide(&mut self, organisation: &str, patience: Duration, now: Time) -> RateDecision {
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return RateDecision::Refused {
+                retry_after: Duration::from_secs(1),
+            };
+        };
+        if let Some(kept) = &mut account.kept {
+            return kept.ask(&self.me, patience, now).decision;
+        }
+        let least = account.rule.rate * UNANSWERED_PART / self.fleet as f64;
+        account.local.take(least, patience, now)
     }
 
-    fn wait_for_next(&self) -> Duration {
-        let missing = 1.0 - self.tokens;
-        if missing <= 0.0 {
-            return Duration::ZERO;
-        }
-        let rate = self.rule.rate * self.share;
-        if rate <= 0.0 {
-            return Duration::from_secs(1);
-        }
-        Duration::from_secs_f64((missing / rate).min(10.0))
+    /// The reserve at another keeper.
+    pub fn reserve(&self, organisation: &str) -> Option<Reserve> {
+        let account = self.accounts.get(organisation)?;
+        Some(Reserve {
+            rate: account.local.rate,
+            until: account.local.until,
+        })
     }
 }
--- a/crates/gateway/src/traffic/admission_gate.rs
+++ b/crates/gateway/src/traffic/admission_gate.rs
@@ -1,27 +1,128 @@
 //! The check of an organisation's rate in front of an operation.
 
 use crate::clock;
-use crate::rate::{RateBook, RateDecision};
+use crate::peer::PeerMessage;
+use crate::rate::{RateAnswer, RateBook, RateDecision};
+use async_channel::Sender;
 use async_io::Timer;
-use std::cell::RefCell;
+use futures_lite::FutureExt;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
+use wasabiyard_model::InstanceId;
 
 /// Longest wait for a token. A short wait smooths bursts; a long one would only hold what has to be refused.
 const PATIENCE: Duration = Duration::from_millis(120);
+/// Longest waits for the keeper's answer, one for each question. A datagram may be lost.
+const ANSWER_WAITS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
 
-/// Waits for a token of the organisation.
-///
-/// # Errors
-///
-/// The time after which a token is free, when the organisation is above its rate.
-pub(super) async fn pass(rates: &RefCell<RateBook>, organisation: &str) -> Result<(), Duration> {
-    let decision = rates.borrow_mut().take(organisation, PATIENCE, clock::now());
-    match decision {
-        RateDecision::After(Duration::ZERO) => Ok(()),
-        RateDecision::After(wait) => {
+/// Sends a message to one instance.
+pub type SendTo = Box<dyn Fn(&InstanceId, PeerMessage)>;
+
+/// Lets operations through at the rate of their organisation.
+pub struct AdmissionGate {
+    rates: RefCell<RateBook>,
+    send_to: SendTo,
+    next_question: Cell<u64>,
+    waiting: RefCell<HashMap<u64, Sender<RateAnswer>>>,
+}
+
+impl std::fmt::Debug for AdmissionGate {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("AdmissionGate")
+            .field("rates", &self.rates)
+            .finish_non_exhaustive()
+    }
+}
+
+impl AdmissionGate {
+    /// A gate that asks other instances through `send_to`.
+    pub fn new(rates: RateBook, send_to: SendTo) -> Self {
+        Self {
+            rates: RefCell::new(rates),
+            send_to,
+            next_question: Cell::new(0),
+            waiting: RefCell::default(),
+        }
+    }
+
+    /// The rates.
+    pub const fn rates(&self) -> &RefCell<RateBook> {
+        &self.rates
+    }
+
+    /// Waits for a token of the organisation.
+    ///
+    /// # Errors
+    ///
+    /// The time after which a token is free, when the organisation is above its rate.
+    pub(super) async fn pass(&self, organisation: &Arc<str>) -> Result<(), Duration> {
+        match self.decide(organisation).await {
+            RateDecision::After(Duration::ZERO) => Ok(()),
+            RateDecision::After(wait) => {
+                Timer::after(wait).await;
+                Ok(())
+            }
+            RateDecision::Refused { retry_after } => Err(retry_after),
+        }
+    }
+
+    async fn decide(&self, organisation: &Arc<str>) -> RateDecision {
+        for wait in ANSWER_WAITS {
+            let asked = clock::now();
+            let keeper = self.rates.borrow().keeper(organisation, asked);
+            let Some(keeper) = keeper else {
+                break;
+            };
+            if let Some(answer) = self.ask(&keeper, organisation, wait).await {
+                let mut rates = self.rates.borrow_mut();
+                rates.on_answer(organisation, answer.reserve, asked);
+                return answer.decision;
+            }
+            self.rates.borrow_mut().on_no_answer(organisation, clock::now());
+        }
+        self.rates
+            .borrow_mut()
+            .decide(organisation, PATIENCE, clock::now())
+    }
+
+    async fn ask(&self, keeper: &InstanceId, organisation: &Arc<str>, wait: Duration) -> Option<RateAnswer> {
+        let question = self.next_question.get();
+        self.next_question.set(question + 1);
+        let (tx, rx) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(question, tx);
+        let message = PeerMessage::RateAsk {
+            question,
+            organisation: Arc::clone(organisation),
+        };
+        (self.send_to)(keeper, message);
+        let answered = async { rx.recv().await.ok() };
+        let expired = async {
             Timer::after(wait).await;
-            Ok(())
+            None
+        };
+        let answer = answered.or(expired).await;
+        self.waiting.borrow_mut().remove(&question);
+        answer
+    }
+
+    /// Handles a question of another instance.
+    pub fn on_ask(&self, from: &InstanceId, question: u64, organisation: &str) {
+        let answer = self
+            .rates
+            .borrow_mut()
+            .on_ask(organisation, from, PATIENCE, clock::now());
+        // An instance that is not the keeper stays silent; the asker will see the same register soon.
+        if let Some(answer) = answer {
+            (self.send_to)(from, PeerMessage::RateAnswer { question, answer });
+        }
+    }
+
+    /// Handles an answer. One that comes too late finds nobody waiting, and its token is lost.
+    pub fn on_answer(&self, question: u64, answer: RateAnswer) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&question) {
+            let _delivered = waiting.try_send(answer);
         }
-        RateDecision::Refused { retry_after } => Err(retry_after),
     }
 }
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod session;
 mod transaction;
 
+pub use admission_gate::{AdmissionGate, SendTo};
 pub use placement::{Candidate, ReplicaLag, choose};
 pub use pool::{Pool, PoolError, PoolSettings};
 pub use requirement::{Need, required_point};
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -1,19 +1,17 @@
 //! One caller's session: its values, prepared names, what it has written, and its transaction.
 
-use super::admission_gate;
+use super::admission_gate::AdmissionGate;
 use super::lease::{Lease, LeaseError};
 use super::pool::{Ask, Pool, PoolError};
 use super::requirement::{Need, required_point};
 use super::transaction::Transaction;
 use crate::profile::SessionValues;
-use crate::rate::RateBook;
 use crate::{
     Answer, CallerError, Command, Configuration, Connector, Freshness, Login, Outcome, Phase, Request,
     RouteRule, Shape, Statement, clock, event_log,
 };
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -52,7 +50,7 @@
     /// Connections to backend servers.
     pub pool: Rc<Pool<C>>,
     /// Rates of organisations.
-    pub rates: Rc<RefCell<RateBook>>,
+    pub gate: Rc<AdmissionGate>,
     /// Runs what goes on after an answer.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Settings.
@@ -331,7 +329,9 @@
         if &*self.organisation == ANONYMOUS {
             return Ok(());
         }
-        admission_gate::pass(&self.cx.rates, &self.organisation)
+        self.cx
+            .gate
+            .pass(&self.organisation)
             .await
             .map_err(|retry_after| {
                 let detail = format!("above the rate; retry after {} ms", retry_after.as_millis());
--- /dev/null
+++ b/crates/gateway/src/view/relays.rs
@@ -0,0 +1,25 @@
+//! Which instances read the store for the others.
+
+use wasabiyard_model::InstanceId;
+use wasabiyard_platform::ListedInstance;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Instances that read the store beside the holder of the failover duty.
+const RELAYS: usize = 2;
+
+/// The relays in the order in which they are chosen. All instances that see the same register agree.
+pub fn relays_of<'a>(members: &'a [ListedInstance], duty_holder: Option<&str>) -> Vec<&'a ListedInstance> {
+    let mut ranked: Vec<_> = members.iter().collect();
+    ranked.sort_by_key(|m| (xxh3_64(m.id.as_str().as_bytes()), m.id.as_str()));
+    let holder = ranked.iter().position(|m| Some(m.id.as_str()) == duty_holder);
+    let holder = holder.map(|i| ranked.remove(i));
+    ranked.truncate(RELAYS);
+    ranked.extend(holder);
+    ranked
+}
+
+/// Whether an instance reads the store itself.
+pub fn is_relay(id: &InstanceId, members: &[ListedInstance], duty_holder: Option<&str>) -> bool {
+    let relays = relays_of(members, duty_holder);
+    relays.is_empty() || relays.iter().any(|m| m.id == *id)
+}
--- /dev/null
+++ b/crates/gateway/tests/view.rs
@@ -0,0 +1,111 @@
+//! What followers learn from relays equals what the relays have read.
+
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wasabiyard_gateway::PrimaryRecord;
+use wasabiyard_gateway::view::{
+    Followed, Follower, ViewAges, ViewKey, ViewMark, ViewTable, ViewValue, relays_of,
+};
+use wasabiyard_model::{Incarnation, InstanceId, Version};
+use wasabiyard_platform::{ListedInstance, ListedState};
+
+const AGES: ViewAges = ViewAges {
+    configuration: Duration::ZERO,
+    records: Duration::ZERO,
+    servers: Duration::ZERO,
+    domains: Duration::ZERO,
+};
+
+fn primary(service: u8, primary: u8) -> (ViewKey, ViewValue) {
+    let record = PrimaryRecord::first(format!("server{primary}").into());
+    (
+        ViewKey::Primary(format!("service{service}").into()),
+        ViewValue::Primary(record),
+    )
+}
+
+fn catch_up(follower: &mut Follower, relay: &InstanceId, table: &ViewTable) {
+    for _ in 0..100 {
+        let mark = follower.mark_for(relay);
+        let page = table.page(mark, AGES, Version(1));
+        if let Followed::Whole { .. } = follower.take(page) {
+            return;
+        }
+    }
+    panic!("the view never became whole");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    /// Whatever changes, and however often a follower asks or changes its relay, a whole view is the relay's view.
+    #[test]
+    fn a_whole_view_equals_the_relays(steps in prop::collection::vec((prop::collection::vec((0..60_u8, 0..5_u8), 0..80), any::<bool>(), any::<bool>()), 1..20)) {
+        let relays = [InstanceId::from("a"), InstanceId::from("b")];
+        let mut tables = [ViewTable::new(11), ViewTable::new(12)];
+        let mut follower = Follower::default();
+        for (parts, second, asks) in steps {
+            let parts: BTreeMap<_, _> = parts.into_iter().map(|(s, p)| primary(s, p)).collect();
+            for table in &mut tables {
+                table.replace(|_| true, parts.clone().into_iter().collect());
+            }
+            if asks {
+                let relay = usize::from(second);
+                catch_up(&mut follower, &relays[relay], &tables[relay]);
+                let seen: BTreeMap<_, _> = follower.parts().map(|(k, v)| (k.clone(), v.clone())).collect();
+                prop_assert_eq!(&seen, &parts);
+            }
+        }
+    }
+}
+
+/// A relay that was started again counts its changes anew; a follower must not keep what is gone meanwhile.
+#[test]
+fn a_restarted_relay_sends_its_whole_view() {
+    let relay = InstanceId::from("a");
+    let mut follower = Follower::default();
+    let mut old = ViewTable::new(1);
+    old.replace(|_| true, vec![primary(1, 1), primary(2, 1)]);
+    catch_up(&mut follower, &relay, &old);
+    let mut new = ViewTable::new(2);
+    new.replace(|_| true, vec![primary(2, 3), primary(4, 1), primary(5, 1)]);
+    catch_up(&mut follower, &relay, &new);
+    let seen: BTreeMap<_, _> = follower.parts().map(|(k, v)| (k.clone(), v.clone())).collect();
+    assert_eq!(
+        seen,
+        [primary(2, 3), primary(4, 1), primary(5, 1)]
+            .into_iter()
+            .collect()
+    );
+}
+
+#[test]
+fn an_unchanged_view_costs_no_entries() {
+    let mut table = ViewTable::new(1);
+    table.replace(|_| true, vec![primary(1, 1)]);
+    let first = table.page(ViewMark::default(), AGES, Version(1));
+    table.replace(|_| true, vec![primary(1, 1)]);
+    let second = table.page(first.mark, AGES, Version(1));
+    assert!(second.entries.is_empty() && second.complete && !second.restart);
+}
+
+fn instance(name: &str) -> ListedInstance {
+    ListedInstance {
+        id: InstanceId::from(name),
+        incarnation: Incarnation(1),
+        address: "10.0.0.9:7560".to_owned(),
+        domain: "riga-a".to_owned(),
+        state: ListedState::Live,
+    }
+}
+
+/// The store counts every call, so the number of readers must not grow with the fleet.
+#[test]
+fn a_large_fleet_has_as_many_relays_as_a_small_one() {
+    let fleet: Vec<_> = (0..87).map(|i| instance(&format!("i{i}"))).collect();
+    assert_eq!(relays_of(&fleet, Some("i50")).len(), 3);
+    let mut reversed = fleet.clone();
+    reversed.reverse();
+    assert_eq!(relays_of(&fleet, None), relays_of(&reversed, None));
+}
