Keep the primary for writes, let measured lag fade, pause after too many connections

Cause: one long lag raised a replica's estimate for ever, so half of the reads went to the primary; fewer connections than instances made one transaction hold up all others. Tried and dropped: each instance may open twice its part. The pause is its own now. The wait for a token is a quarter of the caller's target (not measured apart).

--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -18,9 +18,9 @@
 /// Period of reading the own records. Must be well below the view lease.
 pub(super) const RECORDS_PERIOD: Duration = Duration::from_millis(900);
 /// Period of reading the list of backend servers.
-const SERVERS_PERIOD: Duration = Duration::from_millis(1_200);
+const SERVERS_PERIOD: Duration = Duration::from_millis(1_500);
 /// Period of reading the failure domains out of service.
-const DOMAINS_PERIOD: Duration = Duration::from_millis(1_500);
+const DOMAINS_PERIOD: Duration = Duration::from_millis(2_200);
 
 impl<P, D, M, C> Control<P, D, M, C>
 where
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -410,7 +410,8 @@
             PeerMessage::RateAsk {
                 question,
                 organisation,
-            } => self.gate.on_ask(&from, question, &organisation),
+                patience,
+            } => self.gate.on_ask(&from, question, &organisation, patience),
             PeerMessage::RateAnswer { question, answer } => self.gate.on_answer(question, answer),
             PeerMessage::ViewAsk { question, mark } => {
                 self.tell_control(ControlEvent::ViewAsk { from, question, mark });
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use wasabiyard_model::{Incarnation, InstanceId};
 
@@ -26,6 +27,8 @@
         question: u64,
         /// The organisation.
         organisation: Arc<str>,
+        /// Longest wait for a token.
+        patience: Duration,
     },
     /// The keeper's answer.
     RateAnswer {
--- a/crates/gateway/src/traffic/admission_gate.rs
+++ b/crates/gateway/src/traffic/admission_gate.rs
@@ -12,8 +12,11 @@
 use std::time::Duration;
 use wasabiyard_model::InstanceId;
 
-/// Longest wait for a token. A short wait smooths bursts; a long one would only hold what has to be refused.
-const PATIENCE: Duration = Duration::from_millis(120);
+/// Longest wait for a token, as a part of the time in which a caller wants its operation done. A short wait smooths
+/// bursts; a long one would only hold what has to be refused.
+const PATIENT_PART: u32 = 4;
+/// Longest wait for a token in any case.
+const MAX_PATIENCE: Duration = Duration::from_millis(150);
 /// Longest waits for the keeper's answer, one for each question. A datagram may be lost.
 const ANSWER_WAITS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
 
@@ -57,8 +60,9 @@
     /// # Errors
     ///
     /// The time after which a token is free, when the organisation is above its rate.
-    pub(super) async fn pass(&self, organisation: &Arc<str>) -> Result<(), Duration> {
-        match self.decide(organisation).await {
+    pub(super) async fn pass(&self, organisation: &Arc<str>, target: Duration) -> Result<(), Duration> {
+        let patience = (target / PATIENT_PART).min(MAX_PATIENCE);
+        match self.decide(organisation, patience).await {
             RateDecision::After(Duration::ZERO) => Ok(()),
             RateDecision::After(wait) => {
                 Timer::after(wait).await;
@@ -68,14 +72,14 @@
         }
     }
 
-    async fn decide(&self, organisation: &Arc<str>) -> RateDecision {
+    async fn decide(&self, organisation: &Arc<str>, patience: Duration) -> RateDecision {
         for wait in ANSWER_WAITS {
             let asked = clock::now();
             let keeper = self.rates.borrow().keeper(organisation, asked);
             let Some(keeper) = keeper else {
                 break;
             };
-            if let Some(answer) = self.ask(&keeper, organisation, wait).await {
+            if let Some(answer) = self.ask(&keeper, organisation, patience, wait).await {
                 let mut rates = self.rates.borrow_mut();
                 rates.on_answer(organisation, answer.reserve, asked);
                 return answer.decision;
@@ -84,10 +88,16 @@
         }
         self.rates
             .borrow_mut()
-            .decide(organisation, PATIENCE, clock::now())
+            .decide(organisation, patience, clock::now())
     }
 
-    async fn ask(&self, keeper: &InstanceId, organisation: &Arc<str>, wait: Duration) -> Option<RateAnswer> {
+    async fn ask(
+        &self,
+        keeper: &InstanceId,
+        organisation: &Arc<str>,
+        patience: Duration,
+        wait: Duration,
+    ) -> Option<RateAnswer> {
         let question = self.next_question.get();
         self.next_question.set(question + 1);
         let (tx, rx) = async_channel::bounded(1);
@@ -95,6 +105,7 @@
         let message = PeerMessage::RateAsk {
             question,
             organisation: Arc::clone(organisation),
+            patience,
         };
         (self.send_to)(keeper, message);
         let answered = async { rx.recv().await.ok() };
@@ -108,11 +119,11 @@
     }
 
     /// Handles a question of another instance.
-    pub fn on_ask(&self, from: &InstanceId, question: u64, organisation: &str) {
-        let answer = self
-            .rates
-            .borrow_mut()
-            .on_ask(organisation, from, PATIENCE, clock::now());
+    pub fn on_ask(&self, from: &InstanceId, question: u64, organisation: &str, patience: Duration) {
+        let answer =
+            self.rates
+                .borrow_mut()
+                .on_ask(organisation, from, patience.min(MAX_PATIENCE), clock::now());
         // An instance that is not the keeper stays silent; the asker will see the same register soon.
         if let Some(answer) = answer {
             (self.send_to)(from, PeerMessage::RateAnswer { question, answer });
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! The traffic thread: callers' sessions and the connections to backend servers.
 
 mod admission_gate;
+mod connection_caps;
 mod lease;
 mod placement;
 mod pool;
@@ -11,6 +12,7 @@
 mod transaction;
 
 pub use admission_gate::{AdmissionGate, SendTo};
+pub use connection_caps::ConnectionCaps;
 pub use placement::{Candidate, ReplicaLag, choose};
 pub use pool::{Pool, PoolError, PoolSettings};
 pub use requirement::{Need, required_point};
--- a/crates/gateway/src/traffic/placement.rs
+++ b/crates/gateway/src/traffic/placement.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 use wasabiyard_model::{LogPoint, Time};
 
-/// Weight of the primary for reads that a replica could serve: only it can run writes.
-const PRIMARY_PENALTY: f64 = 1.4;
+/// Weight of the primary for reads that a replica could serve: only it can run writes, and its latency is that of
+/// shorter statements.
+const PRIMARY_PENALTY: f64 = 3.0;
 /// Weight of a server in another failure domain.
 const REMOTE_PENALTY: f64 = 1.05;
 /// Random part of a score, so that instances with the same knowledge do not choose the same server.
@@ -16,6 +17,8 @@
 const INITIAL_LAG: Duration = Duration::from_millis(80);
 /// Longest lag that is assumed.
 const MAX_LAG: Duration = Duration::from_secs(5);
+/// An estimate that was raised by a refusal halves in this time, so that a replica that has caught up is asked again.
+const HALF_LIFE: Duration = Duration::from_millis(500);
 
 /// What is known of a server when a statement is placed.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -70,12 +73,14 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ReplicaLag {
     estimate: Duration,
+    refused: Time,
 }
 
 impl Default for ReplicaLag {
     fn default() -> Self {
         Self {
             estimate: INITIAL_LAG,
+            refused: Time::ZERO,
         }
     }
 }
@@ -90,12 +95,19 @@
         now: Time,
     ) -> bool {
         applied.is_some_and(|a| a >= point)
-            || reached.is_some_and(|reached| now.saturating_since(reached) > self.estimate)
+            || reached.is_some_and(|reached| now.saturating_since(reached) > self.estimate_at(now))
     }
 
     /// The replica refused a point that was `age` old.
-    pub fn on_refused(&mut self, age: Duration) {
-        self.estimate = (self.estimate.max(age) * 5 / 4).min(MAX_LAG);
+    pub fn on_refused(&mut self, age: Duration, now: Time) {
+        self.estimate = (self.estimate_at(now).max(age) * 5 / 4).min(MAX_LAG);
+        self.refused = now;
+    }
+
+    fn estimate_at(&self, now: Time) -> Duration {
+        let halvings = now.saturating_since(self.refused).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let faded = self.estimate.mul_f64((-halvings).exp2());
+        faded.max(self.estimate.min(INITIAL_LAG))
     }
 
     /// The replica served a point that it had not been seen to hold, and that was `age` old.
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -20,8 +20,6 @@
 
 /// Longest time for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
-/// Idle connections are closed after this time.
-const IDLE_TIME: Duration = Duration::from_secs(20);
 /// How long transactions on a primary that is being replaced may still end.
 const RELEASE_GRACE: Duration = Duration::from_millis(120);
 /// Usual time from the moment a primary stops taking work until its successor takes it, when all instances are in touch.
@@ -302,7 +300,10 @@
         let now = clock::now();
         match connected {
             Some(Ok(Connected::Open(conn, point))) => {
-                self.on_heard(&service, &server, point, now);
+                self.with_server(&service, &server, |s| {
+                    s.on_heard(point, now);
+                    s.on_opened();
+                });
                 let profile = Profile::default();
                 let lease = self.lease(&service, &server, &waiter.organisation, conn, profile, now);
                 hand_over(&waiter, lease);
@@ -393,8 +394,12 @@
             };
             pool.admission(lane)
                 .on_served(now.saturating_since(lease.started), now);
+            let caps = pool.caps;
             if let Some(server) = pool.servers.get_mut(&lease.server) {
                 server.busy = server.busy.saturating_sub(1);
+                if server.idle.len() as u32 >= caps.idle {
+                    server.evict();
+                }
                 let stale = lease.revoked.is_closed() || server.server.draining;
                 if let Some(conn) = conn.filter(|_| !stale) {
                     server.idle.push(super::server_pool::IdleConnection {
@@ -410,10 +415,6 @@
         self.dispatch(&service, now);
     }
 
-    pub(super) fn on_heard(&self, service: &str, server: &str, point: Option<LogPoint>, now: Time) {
-        self.with_server(service, server, |s| s.on_heard(point, now));
-    }
-
     /// Records an answer to a statement that was sent at `asked`.
     pub(super) fn on_answer(&self, lease: &Lease<C>, asked: Time, point: Option<LogPoint>, now: Time) {
         let mut services = self.services.borrow_mut();
@@ -445,7 +446,7 @@
             if served {
                 server.lag.on_served(age);
             } else {
-                server.lag.on_refused(age);
+                server.lag.on_refused(age, now);
             }
         }
     }
@@ -575,8 +576,9 @@
         let Some(pool) = services.get_mut(service) else {
             return;
         };
+        let idle_time = pool.caps.idle_time;
         for server in pool.servers.values_mut() {
-            server.idle.retain(|c| now.saturating_since(c.since) < IDLE_TIME);
+            server.idle.retain(|c| now.saturating_since(c.since) < idle_time);
         }
     }
 }
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -16,8 +16,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 /// Longest pause between attempts to connect.
 const MAX_PAUSE: Duration = Duration::from_millis(640);
-/// Pause after the server said that it has too many connections.
-const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after the server said that it has too many connections; doubled each time until one is opened.
+const FULL_PAUSE: Duration = Duration::from_millis(80);
+/// Longest of these pauses.
+const MAX_FULL_PAUSE: Duration = Duration::from_millis(640);
 /// Time without any answer, while answers are due, after which the server counts as unreachable.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(600);
 /// A failure older than this says nothing of a server that was not asked since.
@@ -44,6 +46,9 @@
     pub(super) lag: ReplicaLag,
     failures: u32,
     pause_until: Time,
+    /// Connections refused in a row because the server had too many.
+    refusals: u32,
+    full_until: Time,
     /// When the oldest of the attempts that have failed or hang since the last answer was made.
     failing_since: Option<Time>,
     last_failure: Time,
@@ -63,6 +68,8 @@
             lag: ReplicaLag::default(),
             failures: 0,
             pause_until: Time::ZERO,
+            refusals: 0,
+            full_until: Time::ZERO,
             failing_since: None,
             last_failure: Time::ZERO,
             last_heard: Time::ZERO,
@@ -75,7 +82,7 @@
         if self.busy >= cap {
             return false;
         }
-        !self.idle.is_empty() || now >= self.pause_until
+        !self.idle.is_empty() || (now >= self.pause_until && now >= self.full_until)
     }
 
     /// Takes the idle connection of an organisation whose values are closest to those of the session.
@@ -118,8 +125,15 @@
         }
     }
 
-    pub(super) const fn on_full(&mut self, now: Time) {
-        self.pause_until = Time::from_micros(now.as_micros() + FULL_PAUSE.as_micros() as u64);
+    pub(super) fn on_full(&mut self, now: Time) {
+        let pause = FULL_PAUSE * (1 << self.refusals.min(4));
+        self.refusals += 1;
+        self.full_until = now + pause.min(MAX_FULL_PAUSE);
+    }
+
+    pub(super) const fn on_opened(&mut self) {
+        self.refusals = 0;
+        self.full_until = Time::ZERO;
     }
 
     /// An attempt that was made at `started` got no answer.
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,5 +1,6 @@
 //! The connections and the waiting statements of one service.
 
+use super::connection_caps::ConnectionCaps;
 use super::placement::{Candidate, choose};
 use super::requirement::Need;
 use super::server_pool::{IdleConnection, ServerPool};
@@ -60,7 +61,7 @@
     pub(super) primary: PrimaryView,
     /// When the primary stopped taking work.
     pub(super) moving_since: Option<Time>,
-    pub(super) cap: u32,
+    pub(super) caps: ConnectionCaps,
     pub(super) samples: AgeSamples,
     primary_queue: FairQueue<Waiter<R>>,
     read_queue: FairQueue<Waiter<R>>,
@@ -76,7 +77,7 @@
             servers: BTreeMap::new(),
             primary: PrimaryView::Unknown,
             moving_since: None,
-            cap: 1,
+            caps: ConnectionCaps::of(0, 1),
             samples: AgeSamples::default(),
             primary_queue: FairQueue::default(),
             read_queue: FairQueue::default(),
@@ -112,12 +113,12 @@
             }
         }
         self.forget_unlisted(directory, now);
-        let cap = directory
+        let rule = directory
             .configuration
             .as_ref()
-            .and_then(|c| c.services.get(service))
-            .map_or(1, |rule| rule.max_connections as usize / directory.fleet_size());
-        self.cap = cap.max(1) as u32;
+            .and_then(|c| c.services.get(service));
+        let accepted = rule.map_or(0, |rule| rule.max_connections);
+        self.caps = ConnectionCaps::of(accepted, directory.fleet_size());
         self.taking_work = self
             .servers
             .values()
@@ -226,7 +227,7 @@
             Lane::Primary => 1,
             Lane::Reads => self.taking_work.len().max(1),
         };
-        servers * self.cap as usize
+        servers * self.caps.open as usize
     }
 
     /// Serves the next waiter that can start now.
@@ -243,7 +244,7 @@
         let id = Arc::clone(id);
         // Writes go to a primary that is leaving until another one leads, but not into a failure domain that is out.
         let pool = self.servers.get(&id)?;
-        if !pool.available(self.cap, now) {
+        if !pool.available(self.caps.open, now) {
             return None;
         }
         let (waiting, waiter) = self.primary_queue.pop(now)?;
@@ -276,7 +277,7 @@
 
     fn any_available(&self, now: Time) -> bool {
         self.read_servers()
-            .any(|id| self.servers[id].available(self.cap, now))
+            .any(|id| self.servers[id].available(self.caps.open, now))
     }
 
     fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, domain: &str, now: Time) -> Candidate {
@@ -295,13 +296,13 @@
             latency: pool.latency,
             running: pool.busy,
             connected: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
-            available: pool.available(self.cap, now),
+            available: pool.available(self.caps.open, now),
             holds_point,
         }
     }
 
     fn grant(&mut self, waiting: Waiting, waiter: Waiter<R>, server: Arc<str>) -> Granted<C, R> {
-        let cap = self.cap;
+        let cap = self.caps.open;
         let pool = self.servers.get_mut(&server).expect("a known server");
         let values = &waiter.values;
         let fits = |p: &Profile| {
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -278,7 +278,7 @@
             Ok(route) => route,
             Err((error, detail)) => return Answer::error(error, detail, Phase::Idle),
         };
-        if let Err((error, detail)) = self.take_rate().await {
+        if let Err((error, detail)) = self.take_rate(&route).await {
             return Answer::error(error, detail, Phase::Idle);
         }
         self.transaction = Some(Transaction::Pending {
@@ -325,13 +325,13 @@
         }
     }
 
-    async fn take_rate(&self) -> Result<(), Refusal> {
+    async fn take_rate(&self, route: &RouteRule) -> Result<(), Refusal> {
         if &*self.organisation == ANONYMOUS {
             return Ok(());
         }
         self.cx
             .gate
-            .pass(&self.organisation)
+            .pass(&self.organisation, route.target)
             .await
             .map_err(|retry_after| {
                 let detail = format!("above the rate; retry after {} ms", retry_after.as_millis());
@@ -347,7 +347,7 @@
             Ok(route) => route,
             Err((error, detail)) => return Answer::error(error, detail, Phase::Idle),
         };
-        if let Err((error, detail)) = self.take_rate().await {
+        if let Err((error, detail)) = self.take_rate(&route).await {
             return Answer::error(error, detail, Phase::Idle);
         }
         self.run_alone(req, &work, &route, now).await
--- a/crates/gateway/src/view/relays.rs
+++ b/crates/gateway/src/view/relays.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Instances that read the store beside the holder of the failover duty.
-const RELAYS: usize = 2;
+const RELAYS: usize = 1;
 
 /// The relays in the order in which they are chosen. All instances that see the same register agree.
 pub fn relays_of<'a>(members: &'a [ListedInstance], duty_holder: Option<&str>) -> Vec<&'a ListedInstance> {
