Serve an organisation's urgent operations first at its limit, and add metrics

Cause: with a wait for tokens that depends on the route's target, patient classes took all tokens of an organisation at its limit; the urgent one was refused most.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -36,6 +36,36 @@
     pub took: Duration,
 }
 
+/// A statement that is tried again.
+#[derive(Debug, Clone, Copy)]
+pub struct Retried<'a> {
+    /// The caller's id of the statement.
+    pub request: &'a str,
+    /// The service.
+    pub service: &'a str,
+    /// Backend server of the attempt that gave no result.
+    pub server: &'a str,
+    /// Whether it was used as the primary.
+    pub primary: bool,
+    /// Why there was no result.
+    pub cause: &'static str,
+}
+
+/// Writes a line about a statement that is tried again, or counts it as left out.
+pub fn retried(event: &Retried<'_>) {
+    if !may_write(clock::now()) {
+        return;
+    }
+    log::info!(
+        request = event.request,
+        service = event.service,
+        server = event.server,
+        primary = event.primary,
+        cause = event.cause;
+        "statement tried again"
+    );
+}
+
 /// Writes a line about a statement that was not served, or counts it as left out.
 pub fn refused(event: &Refused<'_>) {
     if !may_write(clock::now()) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! A running instance: the traffic of callers, messages between instances, and the control thread.
 
 use crate::control::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring, Outgoing};
+use crate::metrics::{Metrics, MetricsError};
 use crate::peer::{Envelope, PeerSocket};
 use crate::rate::RateBook;
 use crate::traffic::{AdmissionGate, Pool, PoolSettings, Session, SessionContext, SessionSettings};
@@ -12,12 +13,14 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::FutureExt;
+use miette::Diagnostic;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use thiserror::Error;
 use wasabiyard_model::{InstanceId, Time, Version};
 use wasabiyard_platform::{ListedInstance, Platform};
 
@@ -42,6 +45,18 @@
 /// Part of the grace period after which the process ends in any case.
 const END_PART: f64 = 0.85;
 
+/// Why an instance cannot start.
+#[derive(Debug, Error, Diagnostic)]
+pub enum OpenError {
+    /// The port for peers or the control thread cannot be had.
+    #[error("the port for other instances or the control thread cannot be had")]
+    #[diagnostic(help("choose a free port of this machine in [listen] peers"))]
+    Io(#[from] io::Error),
+    /// Metrics cannot be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
 /// Settings of an instance.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -91,7 +106,7 @@
     /// Closed when open transactions shall end too.
     end_all: (Sender<()>, Receiver<()>),
     stopping: Cell<bool>,
-    sessions: Cell<usize>,
+    metrics: Rc<Metrics>,
     configured: RefCell<RateInputs>,
 }
 
@@ -101,7 +116,7 @@
 {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Gateway")
-            .field("sessions", &self.sessions.get())
+            .field("sessions", &self.sessions())
             .finish_non_exhaustive()
     }
 }
@@ -120,7 +135,7 @@
         connector: C,
         executor: &Rc<LocalExecutor<'static>>,
         open_edges: F,
-    ) -> io::Result<Rc<Self>>
+    ) -> Result<Rc<Self>, OpenError>
     where
         P: Platform + 'static,
         D: Discovery + 'static,
@@ -129,6 +144,7 @@
         F: FnOnce() -> (P, D, M, K) + Send + 'static,
     {
         let directory = Arc::new(ArcSwap::from_pointee(Directory::default()));
+        let metrics = Metrics::open()?;
         let (changed_tx, changed) = async_channel::bounded(1);
         let (events, events_rx) = async_channel::bounded(MAX_PENDING_MESSAGES);
         let (outgoing_tx, outgoing) = async_channel::bounded(MAX_PENDING_MESSAGES);
@@ -152,6 +168,7 @@
                 domain: Arc::from(me.domain.as_str()),
                 seed: me.incarnation.0,
             },
+            Rc::clone(&metrics),
             Rc::clone(executor),
         );
         let rates = RateBook::new(me.id.clone(), settings.rate_tolerance);
@@ -165,6 +182,7 @@
         let cx = Rc::new(SessionContext {
             pool: Rc::clone(&pool),
             gate: Rc::clone(&gate),
+            metrics: Rc::clone(&metrics),
             executor: Rc::clone(executor),
             settings: SessionSettings {
                 key_lifetime: settings.key_lifetime,
@@ -184,7 +202,7 @@
             end_idle: async_channel::bounded(1),
             end_all: async_channel::bounded(1),
             stopping: Cell::new(false),
-            sessions: Cell::new(0),
+            metrics,
             configured: RefCell::default(),
         });
         executor
@@ -217,9 +235,14 @@
         }
     }
 
+    /// Counters and histograms.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     /// Number of callers.
     pub fn sessions(&self) -> usize {
-        self.sessions.get()
+        self.metrics.sessions()
     }
 
     /// Serves a caller until it leaves.
@@ -229,11 +252,11 @@
     {
         let gateway = Rc::clone(self);
         let task = async move {
-            gateway.sessions.set(gateway.sessions.get() + 1);
+            gateway.metrics.on_session_opened();
             if let Err(e) = gateway.serve(link).await {
                 log::debug!(error:% = e; "a caller's connection ended");
             }
-            gateway.sessions.set(gateway.sessions.get() - 1);
+            gateway.metrics.on_session_closed();
         };
         self.executor.spawn(task).detach();
     }
@@ -241,7 +264,7 @@
     /// Stops without cutting a request: callers are turned away, idle ones are closed, transactions may end.
     pub async fn drain(&self) {
         let started = clock::now();
-        log::info!(sessions = self.sessions.get(); "stopping");
+        log::info!(sessions = self.sessions(); "stopping");
         self.stopping.set(true);
         let grace = self.settings.grace;
         let transactions_end = started + grace.mul_f64(TRANSACTION_PART);
@@ -255,11 +278,11 @@
         if let Some(control) = self.control.take() {
             control.join();
         }
-        log::info!(sessions = self.sessions.get(); "stopped");
+        log::info!(sessions = self.sessions(); "stopped");
     }
 
     async fn wait_for_sessions(&self, end: Time) {
-        while self.sessions.get() > 0 && clock::now() < end {
+        while self.sessions() > 0 && clock::now() < end {
             Timer::after(TICK).await;
         }
     }
@@ -410,8 +433,8 @@
             PeerMessage::RateAsk {
                 question,
                 organisation,
-                patience,
-            } => self.gate.on_ask(&from, question, &organisation, patience),
+                wish,
+            } => self.gate.on_ask(&from, question, &organisation, wish),
             PeerMessage::RateAnswer { question, answer } => self.gate.on_answer(question, answer),
             PeerMessage::ViewAsk { question, mark } => {
                 self.tell_control(ControlEvent::ViewAsk { from, question, mark });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod edges;
 pub mod event_log;
 mod gateway;
+pub mod metrics;
 pub mod peer;
 mod primary_record;
 mod profile;
@@ -37,7 +38,7 @@
 pub use edges::{
     CallerLink, Command, Connected, ConnectionError, Connector, Login, ServerConnection, ServerStatus, Target,
 };
-pub use gateway::{Gateway, GatewaySettings, Readiness};
+pub use gateway::{Gateway, GatewaySettings, OpenError, Readiness};
 pub use peer::PeerMessage;
 pub use primary_record::{Leadership, PrimaryRecord};
 pub use profile::{Adjustment, Profile, SessionValues};
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,13 +1,12 @@
 //! The messages and their authentication.
 
 use crate::PrimaryRecord;
-use crate::rate::RateAnswer;
+use crate::rate::{RateAnswer, RateWish};
 use crate::view::{ViewMark, ViewPage};
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use std::sync::Arc;
-use std::time::Duration;
 use thiserror::Error;
 use wasabiyard_model::{Incarnation, InstanceId};
 
@@ -27,8 +26,8 @@
         question: u64,
         /// The organisation.
         organisation: Arc<str>,
-        /// Longest wait for a token.
-        patience: Duration,
+        /// What the operation asks for.
+        wish: RateWish,
     },
     /// The keeper's answer.
     RateAnswer {
--- a/crates/gateway/src/rate/bucket.rs
+++ b/crates/gateway/src/rate/bucket.rs
@@ -28,9 +28,9 @@
         self.tokens = (self.tokens + rate * span).min(cap);
     }
 
-    /// Takes one token, which is there after the wait of the decision.
-    pub(super) fn take(&mut self, rate: f64, patience: Duration) -> RateDecision {
-        let missing = 1.0 - self.tokens;
+    /// Takes one token, which is there after the wait of the decision, and leaves `headroom` tokens for others.
+    pub(super) fn take(&mut self, rate: f64, headroom: f64, patience: Duration) -> RateDecision {
+        let missing = 1.0 + headroom - self.tokens;
         let wait = if missing <= 0.0 {
             Duration::ZERO
         } else if rate > 0.0 {
--- a/crates/gateway/src/rate/keeper.rs
+++ b/crates/gateway/src/rate/keeper.rs
@@ -1,10 +1,10 @@
 //! The bucket of one organisation at its keeper.
 
 use super::bucket::Bucket;
-use super::{RateAnswer, RateDecision};
+use super::{RateAnswer, RateDecision, RateWish};
 use std::collections::HashMap;
 use std::time::Duration;
-use wasabiyard_model::{InstanceId, Time};
+use wasabiyard_model::{Class, InstanceId, Time};
 
 /// How long an asker may spend its reserve after an answer.
 pub(super) const RESERVE_LIFE: Duration = Duration::from_secs(6);
@@ -17,6 +17,9 @@
 /// Part of the rate that askers share even when they ask for less.
 const LEAST_SHARED_PART: f64 = 0.5;
 
+/// Time of the rate that is kept for each more urgent class, in seconds.
+const HEADROOM_S: f64 = 0.1;
+
 /// Limits of an organisation.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Limits {
@@ -55,11 +58,11 @@
     }
 
     /// Decides on one operation of the asker `from`.
-    pub fn ask(&mut self, from: &InstanceId, patience: Duration, now: Time) -> RateAnswer {
+    pub fn ask(&mut self, from: &InstanceId, wish: RateWish, now: Time) -> RateAnswer {
         self.on_demand(from, now);
         let free = self.free_rate(now);
         self.bucket.refill(free, self.limits.cap, now);
-        let decision = self.bucket.take(free, patience);
+        let decision = self.bucket.take(free, self.headroom(wish.class), wish.patience);
         let reserve = self.reserve(from, now);
         if let Some(asker) = self.askers.get_mut(from) {
             asker.reserve = reserve;
@@ -89,6 +92,17 @@
         (self.limits.rate - reserved).max(0.0)
     }
 
+    /// Tokens that an operation of a class leaves to more urgent ones, so that an organisation at its limit is refused
+    /// what can wait and not what is urgent.
+    fn headroom(&self, class: Class) -> f64 {
+        let span_s = match class {
+            Class::Critical => 0.0,
+            Class::Normal => HEADROOM_S,
+            Class::Background => 2.0 * HEADROOM_S,
+        };
+        (self.limits.rate * span_s).min(self.limits.cap / 2.0)
+    }
+
     fn reserve(&self, from: &InstanceId, now: Time) -> f64 {
         let total: f64 = self.askers.values().map(|a| faded(a, now)).sum();
         let own = self.askers.get(from).map_or(0.0, |a| a.demand);
@@ -128,6 +142,6 @@
             least
         };
         self.bucket.refill(rate, 1.0, now);
-        self.bucket.take(rate, patience)
+        self.bucket.take(rate, 0.0, patience)
     }
 }
--- a/crates/gateway/src/rate/mod.rs
+++ b/crates/gateway/src/rate/mod.rs
@@ -16,6 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use wasabiyard_model::Class;
 
 /// Whether an operation may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +30,15 @@
     },
 }
 
+/// What an operation asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateWish {
+    /// Class of its route.
+    pub class: Class,
+    /// Longest wait for a token.
+    pub patience: Duration,
+}
+
 /// A keeper's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct RateAnswer {
--- a/crates/gateway/src/rate/rate_book.rs
+++ b/crates/gateway/src/rate/rate_book.rs
@@ -1,7 +1,7 @@
 //! What one instance knows of the rates: the buckets that it keeps, and its reserves at other keepers.
 
 use super::keeper::{Limits, LocalReserve, RESERVE_LIFE};
-use super::{RateAnswer, RateDecision, RateKeeper, keeper_of};
+use super::{RateAnswer, RateDecision, RateKeeper, RateWish, keeper_of};
 use crate::OrganisationRule;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -110,11 +110,11 @@
         &mut self,
         organisation: &str,
         from: &InstanceId,
-        patience: Duration,
+        wish: RateWish,
         now: Time,
     ) -> Option<RateAnswer> {
         let kept = self.accounts.get_mut(organisation)?.kept.as_mut()?;
-        Some(kept.ask(from, patience, now))
+        Some(kept.ask(from, wish, now))
     }
 
     /// Takes over the reserve of an answer to a question sent at `asked`.
@@ -137,17 +137,17 @@
     }
 
     /// Decides on an operation at this instance: from the bucket that it keeps, or from its reserve.
-    pub fn decide(&mut self, organisation: &str, patience: Duration, now: Time) -> RateDecision {
+    pub fn decide(&mut self, organisation: &str, wish: RateWish, now: Time) -> RateDecision {
         let Some(account) = self.accounts.get_mut(organisation) else {
             return RateDecision::Refused {
                 retry_after: Duration::from_secs(1),
             };
         };
         if let Some(kept) = &mut account.kept {
-            return kept.ask(&self.me, patience, now).decision;
+            return kept.ask(&self.me, wish, now).decision;
         }
         let least = account.rule.rate * UNANSWERED_PART / self.fleet as f64;
-        account.local.take(least, patience, now)
+        account.local.take(least, wish.patience, now)
     }
 
     /// The reserve at another keeper.
--- a/crates/gateway/src/traffic/admission_gate.rs
+++ b/crates/gateway/src/traffic/admission_gate.rs
@@ -1,8 +1,8 @@
 //! The check of an organisation's rate in front of an operation.
 
-use crate::clock;
 use crate::peer::PeerMessage;
-use crate::rate::{RateAnswer, RateBook, RateDecision};
+use crate::rate::{RateAnswer, RateBook, RateDecision, RateWish};
+use crate::{RouteRule, clock};
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -60,9 +60,12 @@
     /// # Errors
     ///
     /// The time after which a token is free, when the organisation is above its rate.
-    pub(super) async fn pass(&self, organisation: &Arc<str>, target: Duration) -> Result<(), Duration> {
-        let patience = (target / PATIENT_PART).min(MAX_PATIENCE);
-        match self.decide(organisation, patience).await {
+    pub(super) async fn pass(&self, organisation: &Arc<str>, route: &RouteRule) -> Result<(), Duration> {
+        let wish = RateWish {
+            class: route.class,
+            patience: (route.target / PATIENT_PART).min(MAX_PATIENCE),
+        };
+        match self.decide(organisation, wish).await {
             RateDecision::After(Duration::ZERO) => Ok(()),
             RateDecision::After(wait) => {
                 Timer::after(wait).await;
@@ -72,30 +75,28 @@
         }
     }
 
-    async fn decide(&self, organisation: &Arc<str>, patience: Duration) -> RateDecision {
+    async fn decide(&self, organisation: &Arc<str>, wish: RateWish) -> RateDecision {
         for wait in ANSWER_WAITS {
             let asked = clock::now();
             let keeper = self.rates.borrow().keeper(organisation, asked);
             let Some(keeper) = keeper else {
                 break;
             };
-            if let Some(answer) = self.ask(&keeper, organisation, patience, wait).await {
+            if let Some(answer) = self.ask(&keeper, organisation, wish, wait).await {
                 let mut rates = self.rates.borrow_mut();
                 rates.on_answer(organisation, answer.reserve, asked);
                 return answer.decision;
             }
             self.rates.borrow_mut().on_no_answer(organisation, clock::now());
         }
-        self.rates
-            .borrow_mut()
-            .decide(organisation, patience, clock::now())
+        self.rates.borrow_mut().decide(organisation, wish, clock::now())
     }
 
     async fn ask(
         &self,
         keeper: &InstanceId,
         organisation: &Arc<str>,
-        patience: Duration,
+        wish: RateWish,
         wait: Duration,
     ) -> Option<RateAnswer> {
         let question = self.next_question.get();
@@ -105,7 +106,7 @@
         let message = PeerMessage::RateAsk {
             question,
             organisation: Arc::clone(organisation),
-            patience,
+            wish,
         };
         (self.send_to)(keeper, message);
         let answered = async { rx.recv().await.ok() };
@@ -119,11 +120,11 @@
     }
 
     /// Handles a question of another instance.
-    pub fn on_ask(&self, from: &InstanceId, question: u64, organisation: &str, patience: Duration) {
-        let answer =
-            self.rates
-                .borrow_mut()
-                .on_ask(organisation, from, patience.min(MAX_PATIENCE), clock::now());
+    pub fn on_ask(&self, from: &InstanceId, question: u64, organisation: &str, wish: RateWish) {
+        let answer = self
+            .rates
+            .borrow_mut()
+            .on_ask(organisation, from, wish, clock::now());
         // An instance that is not the keeper stays silent; the asker will see the same register soon.
         if let Some(answer) = answer {
             (self.send_to)(from, PeerMessage::RateAnswer { question, answer });
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -3,6 +3,7 @@
 use super::lease::Lease;
 use super::requirement::Need;
 use super::service_pool::{Grant, Granted, Lane, ServicePool, Waiter};
+use crate::metrics::{ConnectResult, Metrics};
 use crate::profile::{Profile, SessionValues};
 use crate::{Connected, Connector, Directory, PrimaryView, Target, clock};
 use async_executor::LocalExecutor;
@@ -78,6 +79,7 @@
 {
     connector: C,
     settings: PoolSettings,
+    metrics: Rc<Metrics>,
     executor: Rc<LocalExecutor<'static>>,
     directory: RefCell<Arc<Directory>>,
     services: RefCell<Services<C>>,
@@ -102,11 +104,17 @@
     C: Connector + 'static,
 {
     /// An empty pool.
-    pub fn new(connector: C, settings: PoolSettings, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+    pub fn new(
+        connector: C,
+        settings: PoolSettings,
+        metrics: Rc<Metrics>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
         let rng = RefCell::new(SmallRng::seed_from_u64(settings.seed));
         Rc::new(Self {
             connector,
             settings,
+            metrics,
             executor,
             directory: RefCell::default(),
             services: RefCell::default(),
@@ -189,7 +197,10 @@
             Err(PoolError::Deadline)
         };
         let served = async { rx.recv().await.unwrap_or(Err(PoolError::Deadline)) };
-        served.or(expired).await
+        let lease = served.or(expired).await?;
+        let waited = clock::now().saturating_since(now);
+        self.metrics.on_placed(ask.service, lease.epoch.is_some(), waited);
+        Ok(lease)
     }
 
     fn enqueue(&self, ask: &Ask<'_>, waiter: Waiter<Reply<C>>, now: Time) -> Result<(), PoolError> {
@@ -300,6 +311,7 @@
         let now = clock::now();
         match connected {
             Some(Ok(Connected::Open(conn, point))) => {
+                self.metrics.on_connect(&service, ConnectResult::Opened);
                 self.with_server(&service, &server, |s| {
                     s.on_heard(point, now);
                     s.on_opened();
@@ -309,11 +321,16 @@
                 hand_over(&waiter, lease);
                 return;
             }
-            Some(Ok(Connected::Full)) => self.with_server(&service, &server, |s| s.on_full(now)),
+            Some(Ok(Connected::Full)) => {
+                self.metrics.on_connect(&service, ConnectResult::Full);
+                self.with_server(&service, &server, |s| s.on_full(now));
+            }
             Some(Ok(Connected::WrongServer | Connected::Refused)) | None => {
+                self.metrics.on_connect(&service, ConnectResult::Failed);
                 self.with_server(&service, &server, |s| s.on_failure(started, now));
             }
             Some(Err(e)) => {
+                self.metrics.on_connect(&service, ConnectResult::Failed);
                 log::debug!(server:% = server, error:% = e; "cannot connect to a backend server");
                 self.with_server(&service, &server, |s| s.on_failure(started, now));
             }
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -5,6 +5,7 @@
 use super::pool::{Ask, Pool, PoolError};
 use super::requirement::{Need, required_point};
 use super::transaction::Transaction;
+use crate::metrics::{Metrics, StatementKind};
 use crate::profile::SessionValues;
 use crate::{
     Answer, CallerError, Command, Configuration, Connector, Freshness, Login, Outcome, Phase, Request,
@@ -51,6 +52,8 @@
     pub pool: Rc<Pool<C>>,
     /// Rates of organisations.
     pub gate: Rc<AdmissionGate>,
+    /// Counters and histograms.
+    pub metrics: Rc<Metrics>,
     /// Runs what goes on after an answer.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Settings.
@@ -74,6 +77,8 @@
 {
     cx: Rc<SessionContext<C>>,
     login: Login,
+    /// Service of the route at login, for metrics.
+    service: Arc<str>,
     organisation: Arc<str>,
     values: Rc<SessionValues>,
     prepared: HashMap<Rc<str>, Shape>,
@@ -113,6 +118,7 @@
         Ok(Self {
             cx,
             login,
+            service: Arc::clone(&route.service),
             organisation,
             values: Rc::default(),
             prepared: HashMap::new(),
@@ -146,7 +152,12 @@
     /// Handles one request.
     pub async fn handle(&mut self, req: &Request) -> Answer {
         let started = clock::now();
+        let kind = self.kind(req);
         let answer = self.answer(req, started).await;
+        let took = clock::now().saturating_since(started);
+        self.cx
+            .metrics
+            .on_statement(&self.service, kind, answer.failure(), took);
         if let Some(error) = answer.failure() {
             event_log::refused(&event_log::Refused {
                 request: &req.id,
@@ -157,12 +168,30 @@
                     Outcome::Error { detail, .. } => detail,
                     Outcome::Done { .. } => "",
                 },
-                took: clock::now().saturating_since(started),
+                took,
             });
         }
         answer
     }
 
+    fn kind(&self, req: &Request) -> StatementKind {
+        let alone = self.transaction.is_none();
+        match &req.statement {
+            Some(Statement::Commit) => StatementKind::Commit,
+            Some(Statement::Read) if alone => StatementKind::Read,
+            Some(Statement::Write) if alone => StatementKind::Write,
+            Some(Statement::Execute { name, .. }) if alone => match self.prepared.get(name) {
+                Some(shape) if shape.writes => StatementKind::Write,
+                Some(_) => StatementKind::Read,
+                None => StatementKind::Local,
+            },
+            Some(Statement::Read | Statement::Write | Statement::Execute { .. }) => {
+                StatementKind::InTransaction
+            }
+            _ => StatementKind::Local,
+        }
+    }
+
     async fn answer(&mut self, req: &Request, now: Time) -> Answer {
         let Some(statement) = &req.statement else {
             return self.fail(CallerError::Malformed, "not a statement");
@@ -331,7 +360,7 @@
         }
         self.cx
             .gate
-            .pass(&self.organisation, route.target)
+            .pass(&self.organisation, route)
             .await
             .map_err(|retry_after| {
                 let detail = format!("above the rate; retry after {} ms", retry_after.as_millis());
@@ -411,6 +440,7 @@
                     }
                     Some(error) if expired => return relay(answer, error),
                     Some(CallerError::Lagging) => {
+                        self.on_retry(req, route, &lease, CallerError::Lagging.name());
                         if let Some(point) = at_least {
                             self.cx.pool.on_replica_point(&lease, point, false, now);
                         }
@@ -418,10 +448,12 @@
                     }
                     Some(CallerError::UnknownPrepared) => lease.profile.prepared.clear(),
                     Some(CallerError::Failed) if !work.writes && failed_reads < MAX_FAILED_READS => {
+                        self.on_retry(req, route, &lease, CallerError::Failed.name());
                         failed_reads += 1;
                     }
                     Some(CallerError::TimedOut) if !work.writes => {}
                     Some(error) if error.not_run() => {
+                        self.on_retry(req, route, &lease, error.name());
                         drop(lease);
                         Timer::after(RETRY_PAUSE).await;
                     }
@@ -437,11 +469,23 @@
                 Err(e) if expired => {
                     return Answer::error(CallerError::TimedOut, lost_detail(&e), Phase::Idle);
                 }
-                Err(_) => {}
+                Err(e) => self.on_retry(req, route, &lease, lost_cause(&e)),
             }
         }
     }
 
+    /// Counts and logs that a statement is tried again.
+    fn on_retry(&self, req: &Request, route: &RouteRule, lease: &Lease<C>, cause: &'static str) {
+        self.cx.metrics.on_retry(&route.service, cause);
+        event_log::retried(&event_log::Retried {
+            request: &req.id,
+            service: &route.service,
+            server: &lease.server,
+            primary: lease.epoch.is_some(),
+            cause,
+        });
+    }
+
     async fn run_in_transaction(&mut self, req: &Request, work: Work) -> Answer {
         if let Err((error, detail)) = self.open_transaction().await {
             return self.fail(error, detail);
@@ -719,6 +763,14 @@
     }
 }
 
+const fn lost_cause(e: &LeaseError) -> &'static str {
+    match e {
+        LeaseError::Connection(crate::ConnectionError::Silent) => "silent",
+        LeaseError::Connection(_) => "connection_lost",
+        LeaseError::Revoked => "primary_moved",
+    }
+}
+
 fn find_route(configuration: &Configuration, database: &str) -> Result<Arc<RouteRule>, Refusal> {
     configuration
         .routes
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_gateway::OrganisationRule;
-use wasabiyard_gateway::rate::{RateBook, RateDecision, keeper_of};
-use wasabiyard_model::{InstanceId, Time};
+use wasabiyard_gateway::rate::{RateBook, RateDecision, RateKeeper, RateWish, keeper_of};
+use wasabiyard_model::{Class, InstanceId, Time};
 
 const ORGANISATION: &str = "zoo";
 const START: Time = Time::from_millis(60_000);
+const WISH: RateWish = RateWish {
+    class: Class::Critical,
+    patience: Duration::ZERO,
+};
 const STEP: Duration = Duration::from_millis(10);
 
 /// Books of a fleet whose datagrams are exchanged at once, unless a link is cut.
@@ -49,16 +53,16 @@
 
     fn operation(&mut self, at: usize) -> bool {
         let decision = match self.books[at].keeper(ORGANISATION, self.now) {
-            None => self.books[at].decide(ORGANISATION, Duration::ZERO, self.now),
+            None => self.books[at].decide(ORGANISATION, WISH, self.now),
             Some(keeper) => {
                 let keeper = self.ids.iter().position(|id| *id == keeper).expect("a member");
                 if self.cut.contains(&at) || self.cut.contains(&keeper) {
                     self.books[at].on_no_answer(ORGANISATION, self.now);
-                    self.books[at].decide(ORGANISATION, Duration::ZERO, self.now)
+                    self.books[at].decide(ORGANISATION, WISH, self.now)
                 } else {
                     let from = self.ids[at].clone();
                     let answer = self.books[keeper]
-                        .on_ask(ORGANISATION, &from, Duration::ZERO, self.now)
+                        .on_ask(ORGANISATION, &from, WISH, self.now)
                         .expect("the keeper");
                     self.books[at].on_answer(ORGANISATION, answer.reserve, self.now);
                     answer.decision
@@ -166,3 +170,26 @@
     }
     assert!(moved <= 30, "{moved} of 200 moved when 1 of 20 left");
 }
+
+/// An organisation at its limit: the urgent operations are few and must not be refused for those that can wait.
+#[test]
+fn urgent_operations_come_first_at_the_limit() {
+    let mut keeper = RateKeeper::open(100.0, 100.0, START);
+    let asker = InstanceId::from("i1");
+    let mut refused = [0; 2];
+    for step in 0..2_000_u64 {
+        let now = START + Duration::from_millis(step * 5);
+        // 200 operations a second against 100, every tenth of them urgent.
+        let urgent = step % 10 == 0;
+        let class = if urgent { Class::Critical } else { Class::Normal };
+        let wish = RateWish {
+            class,
+            patience: Duration::from_millis(50),
+        };
+        if let RateDecision::Refused { .. } = keeper.ask(&asker, wish, now).decision {
+            refused[usize::from(urgent)] += 1;
+        }
+    }
+    assert!(refused[1] <= 2, "{} of 200 urgent operations refused", refused[1]);
+    assert!(refused[0] >= 700, "{} of 1,800 others refused", refused[0]);
+}
--- a/crates/model/src/class.rs
+++ b/crates/model/src/class.rs
@@ -1,9 +1,10 @@
 //! Priority classes.
 
+use serde::{Deserialize, Serialize};
 use std::str::FromStr;
 
 /// Priority class of a route for scarce connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Class {
     /// Bookings, settlements, renewals.
     Critical,
