--- a/crates/bench/src/launcher/process.rs
+++ b/crates/bench/src/launcher/process.rs
@@ -53,7 +53,11 @@
         let child = Command::new(find_binary(binary)?)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(
+                output
+                    .try_clone()
+                    .map_err(LaunchError::io(format!("cannot share the log of {name}")))?,
+            )
             .stderr(output)
             .spawn()
             .map_err(LaunchError::io(format!("cannot start {name}")))?;
