--- a/crates/gateway/src/rate/bucket.rs
+++ b/crates/gateway/src/rate/bucket.rs
@@ -14,11 +14,8 @@
 }
 
 impl Bucket {
-    pub(super) const fn empty(now: Time) -> Self {
-        Self {
-            tokens: 0.0,
-            updated: now,
-        }
+    pub(super) const fn open(tokens: f64, now: Time) -> Self {
+        Self { tokens, updated: now }
     }
 
     /// Adds what has come in at `rate` tokens a second, up to `cap`.
--- a/crates/gateway/src/rate/keeper.rs
+++ b/crates/gateway/src/rate/keeper.rs
@@ -17,6 +17,9 @@
 /// Part of the rate that askers share even when they ask for less.
 const LEAST_SHARED_PART: f64 = 0.5;
 
+/// Time of the rate that a new keeper has at once, in seconds. What the fleet passes above rate and burst because of it
+/// is within what operators tolerate.
+const FIRST_TOKENS_S: f64 = 0.3;
 /// Time of the rate that is kept for each more urgent class, in seconds.
 const HEADROOM_S: f64 = 0.1;
 
@@ -44,11 +47,11 @@
 }
 
 impl RateKeeper {
-    /// A keeper with an empty bucket: an earlier keeper may just have given out all that there was.
+    /// A keeper that starts with few tokens: an earlier keeper may just have given out all that there was.
     pub fn open(rate: f64, cap: f64, now: Time) -> Self {
         Self {
             limits: Limits { rate, cap },
-            bucket: Bucket::empty(now),
+            bucket: Bucket::open((rate * FIRST_TOKENS_S).min(cap), now),
             askers: HashMap::new(),
         }
     }
@@ -131,7 +134,7 @@
         Self {
             rate: 0.0,
             until: Time::ZERO,
-            bucket: Bucket::empty(now),
+            bucket: Bucket::open(0.0, now),
         }
     }
 
--- a/crates/gateway/src/traffic/connection_caps.rs
+++ b/crates/gateway/src/traffic/connection_caps.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Part of a server's connections that the fleet uses. When all instances lose power at once, the server keeps their
+/// connections for some seconds, and the instances that come back need others.
+const USED_PART: f64 = 0.67;
 /// Equal part from which on instances keep to it. Below, they share what there is: few of them need a connection to the
 /// same server at the same time.
 const OWN_PART: f64 = 2.0;
@@ -10,7 +13,7 @@
 /// Idle time after which a connection is closed, when there are enough for every instance.
 const LONG_IDLE: Duration = Duration::from_secs(20);
 /// The same when there are fewer connections than instances.
-const SHORT_IDLE: Duration = Duration::from_millis(400);
+const SHORT_IDLE: Duration = Duration::from_millis(150);
 
 /// Limits of the connections to one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,9 +37,10 @@
                 idle_time: SHORT_IDLE,
             };
         }
+        let open = ((part * USED_PART) as u32).max(1);
         Self {
-            open: part as u32,
-            idle: part as u32,
+            open,
+            idle: open,
             idle_time: LONG_IDLE,
         }
     }
