Let instances borrow connections beyond their part, and keep few idle

Cause: a transaction holds a connection of the primary while its caller pauses; with two connections an instance is blocked in 4 of 10 moments (Poisson mean 1.4).

--- a/crates/gateway/src/traffic/connection_caps.rs
+++ b/crates/gateway/src/traffic/connection_caps.rs
@@ -2,18 +2,22 @@
 
 use std::time::Duration;
 
-/// Part of a server's connections that the fleet uses. When all instances lose power at once, the server keeps their
+/// An instance may open this many times its equal part. Transactions hold connections while their callers pause, and
+/// seldom many of them at the same time at every instance.
+const BORROWED_TIMES: f64 = 1.67;
+/// Connections that an instance may open in any case: one transaction must not hold up all others.
+const LEAST_OPEN: u32 = 3;
+/// Part of an instance's equal part that it may keep idle. When all instances lose power at once, the server keeps their
 /// connections for some seconds, and the instances that come back need others.
-const USED_PART: f64 = 0.67;
-/// Equal part from which on instances keep to it. Below, they share what there is: few of them need a connection to the
-/// same server at the same time.
-const OWN_PART: f64 = 2.0;
-/// Connections that an instance may open when they are shared: one transaction must not hold up all others.
-const SHARED_OPEN: u32 = 3;
-/// Idle time after which a connection is closed, when there are enough for every instance.
-const LONG_IDLE: Duration = Duration::from_secs(20);
+const IDLE_PART: f64 = 0.34;
+/// Equal part from which on idle connections are kept for long.
+const AMPLE_PART: f64 = 6.0;
+/// Idle time after which a connection is closed when there are many.
+const LONG_IDLE: Duration = Duration::from_secs(5);
+/// The same when there are few.
+const SHORT_IDLE: Duration = Duration::from_millis(400);
 /// The same when there are fewer connections than instances.
-const SHORT_IDLE: Duration = Duration::from_millis(150);
+const SHARED_IDLE: Duration = Duration::from_millis(150);
 
 /// Limits of the connections to one server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,18 +34,14 @@
     /// The caps of one of `instances` at a server that accepts `accepted` connections.
     pub fn of(accepted: u32, instances: usize) -> Self {
         let part = f64::from(accepted) / instances.max(1) as f64;
-        if part < OWN_PART {
-            return Self {
-                open: SHARED_OPEN,
-                idle: 1,
-                idle_time: SHORT_IDLE,
-            };
-        }
-        let open = ((part * USED_PART) as u32).max(1);
         Self {
-            open,
-            idle: open,
-            idle_time: LONG_IDLE,
+            open: ((part * BORROWED_TIMES) as u32).max(LEAST_OPEN),
+            idle: ((part * IDLE_PART) as u32).max(1),
+            idle_time: match part {
+                p if p >= AMPLE_PART => LONG_IDLE,
+                p if p >= 1.0 => SHORT_IDLE,
+                _ => SHARED_IDLE,
+            },
         }
     }
 }
