--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -64,14 +64,21 @@
     pub instance: ListedInstance,
     /// Address of the datagram socket for peers.
     pub peers: SocketAddr,
+    /// What can be changed while the instance runs.
+    pub runtime: RuntimeSettings,
+    /// Idle time after which a transaction is ended when the configuration gives none.
+    pub transaction_idle: Duration,
+}
+
+/// Settings that a running instance takes over.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RuntimeSettings {
     /// Age of the configuration beyond which keys are not trusted any more.
     pub key_lifetime: Duration,
     /// Operations above rate and burst that the fleet may let pass.
     pub rate_tolerance: f64,
     /// Time between the order to stop and the forced end.
     pub grace: Duration,
-    /// Idle time after which a transaction is ended when the configuration gives none.
-    pub transaction_idle: Duration,
 }
 
 /// Whether callers should be sent here.
@@ -106,6 +113,7 @@
     /// Closed when open transactions shall end too.
     end_all: (Sender<()>, Receiver<()>),
     stopping: Cell<bool>,
+    grace: Cell<Duration>,
     metrics: Rc<Metrics>,
     configured: RefCell<RateInputs>,
 }
@@ -171,7 +179,7 @@
             Rc::clone(&metrics),
             Rc::clone(executor),
         );
-        let rates = RateBook::new(me.id.clone(), settings.rate_tolerance);
+        let rates = RateBook::new(me.id.clone(), settings.runtime.rate_tolerance);
         let peers = Peers {
             socket,
             directory: Arc::clone(&directory),
@@ -184,11 +192,12 @@
             gate: Rc::clone(&gate),
             metrics: Rc::clone(&metrics),
             executor: Rc::clone(executor),
-            settings: SessionSettings {
-                key_lifetime: settings.key_lifetime,
-            },
+            settings: Cell::new(SessionSettings {
+                key_lifetime: settings.runtime.key_lifetime,
+            }),
         });
         let gateway = Rc::new(Self {
+            grace: Cell::new(settings.runtime.grace),
             settings,
             cx,
             pool,
@@ -235,6 +244,18 @@
         }
     }
 
+    /// Takes over settings that may change while the instance runs.
+    pub fn apply(&self, runtime: RuntimeSettings) {
+        self.grace.set(runtime.grace);
+        self.cx.settings.set(SessionSettings {
+            key_lifetime: runtime.key_lifetime,
+        });
+        self.gate
+            .rates()
+            .borrow_mut()
+            .set_tolerance(runtime.rate_tolerance);
+    }
+
     /// Counters and histograms.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
@@ -266,7 +287,7 @@
         let started = clock::now();
         log::info!(sessions = self.sessions(); "stopping");
         self.stopping.set(true);
-        let grace = self.settings.grace;
+        let grace = self.grace.get();
         let transactions_end = started + grace.mul_f64(TRANSACTION_PART);
         let end = started + grace.mul_f64(END_PART);
         Timer::after(BALANCER_DELAY.min(grace / 2)).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,7 +38,7 @@
 pub use edges::{
     CallerLink, Command, Connected, ConnectionError, Connector, Login, ServerConnection, ServerStatus, Target,
 };
-pub use gateway::{Gateway, GatewaySettings, OpenError, Readiness};
+pub use gateway::{Gateway, GatewaySettings, OpenError, Readiness, RuntimeSettings};
 pub use peer::PeerMessage;
 pub use primary_record::{Leadership, PrimaryRecord};
 pub use profile::{Adjustment, Profile, SessionValues};
--- a/crates/gateway/src/rate/rate_book.rs
+++ b/crates/gateway/src/rate/rate_book.rs
@@ -96,6 +96,20 @@
         }
     }
 
+    /// Changes the operations beyond the burst that operators tolerate.
+    pub fn set_tolerance(&mut self, tolerance: f64) {
+        self.tolerance = tolerance;
+        for account in self.accounts.values_mut() {
+            let limits = Limits {
+                rate: account.rule.rate,
+                cap: account.rule.burst + tolerance,
+            };
+            if let Some(kept) = &mut account.kept {
+                kept.set_limits(limits);
+            }
+        }
+    }
+
     /// The keeper to ask for an operation; `None` when this instance decides on its own.
     pub fn keeper(&self, organisation: &str, now: Time) -> Option<InstanceId> {
         let account = self.accounts.get(organisation)?;
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -13,6 +13,7 @@
 };
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -57,7 +58,7 @@
     /// Runs what goes on after an answer.
     pub executor: Rc<LocalExecutor<'static>>,
     /// Settings.
-    pub settings: SessionSettings,
+    pub settings: Cell<SessionSettings>,
 }
 
 impl<C> std::fmt::Debug for SessionContext<C>
@@ -263,7 +264,7 @@
         } else if &*self.organisation != ANONYMOUS {
             return Err((CallerError::AuthenticationFailed, "the key is not valid".into()));
         }
-        if !directory.keys_are_current(self.cx.settings.key_lifetime, now) {
+        if !directory.keys_are_current(self.cx.settings.get().key_lifetime, now) {
             return Err(busy(
                 "the configuration is too old to trust keys",
                 Duration::from_secs(1),
