--- a/crates/gateway/src/control/duty.rs
+++ b/crates/gateway/src/control/duty.rs
@@ -12,6 +12,8 @@
 const LAPSE: Duration = Duration::from_millis(3_500);
 /// Delay between instances that could take a lapsed duty, so that they do not all try.
 const RANK_DELAY: Duration = Duration::from_millis(120);
+/// Longest of these delays. In a large fleet many of the first in line may be cut off together with the holder.
+const MAX_RANK_DELAY: Duration = Duration::from_millis(1_500);
 
 /// The duty in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,7 +90,7 @@
     ) -> Option<DutyRecord> {
         let seen_at = self.seen_at?;
         let seen_for = now.saturating_since(seen_at);
-        let delay = RANK_DELAY * rank as u32;
+        let delay = (RANK_DELAY * rank as u32).min(MAX_RANK_DELAY);
         let Some((_, record)) = &self.record else {
             return (seen_for >= delay).then(|| taken(me, incarnation, 1));
         };
--- a/crates/gateway/src/control/duty_loop.rs
+++ b/crates/gateway/src/control/duty_loop.rs
@@ -5,7 +5,7 @@
 use super::poll::RECORDS_PERIOD;
 use super::records;
 use super::state::State;
-use crate::view::relays_of;
+use crate::view::ranking;
 use crate::{Connector, Discovery, Promoter, clock};
 use async_io::Timer;
 use std::rc::Rc;
@@ -40,9 +40,9 @@
                     continue;
                 }
                 let directory = &state.directory;
-                let relays = relays_of(&directory.members, None);
-                let rank = relays.iter().position(|m| m.id.as_str() == &*me);
-                let rank = rank.unwrap_or(directory.members.len());
+                let ranked = ranking(&directory.members);
+                let rank = ranked.iter().position(|m| m.id.as_str() == &*me);
+                let rank = rank.unwrap_or(ranked.len());
                 let due = state.duty.due(&me, incarnation, rank, RENEWAL_PERIOD, now);
                 let version = state.duty.record().map(|(v, _)| *v);
                 (due, version.map_or(Expect::Absent, Expect::Version))
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -468,6 +468,11 @@
         }
     }
 
+    /// The server refused a statement because it has too many; others are preferred until it answers faster again.
+    pub(super) fn on_busy(&self, lease: &Lease<C>) {
+        self.with_server(&lease.service, &lease.server, |s| s.latency = s.latency * 3 / 2);
+    }
+
     pub(super) fn on_failure(&self, service: &str, server: &str, started: Time, now: Time) {
         self.with_server(service, server, |s| s.on_failure(started, now));
     }
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -28,6 +28,8 @@
 const MIN_READ_WAIT: Duration = Duration::from_millis(300);
 /// Pause before a statement that did not run is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause between runs that a server was too busy for; the pause doubles up to it.
+const MAX_BUSY_PAUSE: Duration = Duration::from_millis(160);
 /// Runs of one read that may fail at backend servers.
 const MAX_FAILED_READS: u32 = 2;
 /// Prepared names of one session.
@@ -388,6 +390,7 @@
         let deadline = asked + route.timeout.saturating_sub(ANSWER_MARGIN);
         let mut only_primary = work.writes;
         let mut failed_reads = 0;
+        let mut pause = RETRY_PAUSE;
         loop {
             let need = if only_primary {
                 Need::Primary
@@ -455,8 +458,15 @@
                     Some(CallerError::TimedOut) if !work.writes => {}
                     Some(error) if error.not_run() => {
                         self.on_retry(req, route, &lease, error.name());
+                        if error == CallerError::Busy {
+                            self.cx.pool.on_busy(&lease);
+                        }
                         drop(lease);
-                        Timer::after(RETRY_PAUSE).await;
+                        if now + pause >= deadline {
+                            return relay(answer, error);
+                        }
+                        Timer::after(pause).await;
+                        pause = (pause * 2).min(MAX_BUSY_PAUSE);
                     }
                     Some(error) => return relay(answer, error),
                 },
--- a/crates/gateway/src/view/mod.rs
+++ b/crates/gateway/src/view/mod.rs
@@ -10,6 +10,6 @@
 mod view_table;
 
 pub use follower::{Followed, Follower};
-pub use relays::{is_relay, relays_of};
+pub use relays::{is_relay, ranking, relays_of};
 pub use view_entry::{ViewAges, ViewEntry, ViewKey, ViewMark, ViewPage, ViewValue};
 pub use view_table::ViewTable;
--- a/crates/gateway/src/view/relays.rs
+++ b/crates/gateway/src/view/relays.rs
@@ -9,8 +9,7 @@
 
 /// The relays in the order in which they are chosen. All instances that see the same register agree.
 pub fn relays_of<'a>(members: &'a [ListedInstance], duty_holder: Option<&str>) -> Vec<&'a ListedInstance> {
-    let mut ranked: Vec<_> = members.iter().collect();
-    ranked.sort_by_key(|m| (xxh3_64(m.id.as_str().as_bytes()), m.id.as_str()));
+    let mut ranked = ranking(members);
     let holder = ranked.iter().position(|m| Some(m.id.as_str()) == duty_holder);
     let holder = holder.map(|i| ranked.remove(i));
     ranked.truncate(RELAYS);
@@ -18,6 +17,13 @@
     ranked
 }
 
+/// The order in which instances are chosen for tasks that one of them does for all.
+pub fn ranking(members: &[ListedInstance]) -> Vec<&ListedInstance> {
+    let mut ranked: Vec<_> = members.iter().collect();
+    ranked.sort_by_key(|m| (xxh3_64(m.id.as_str().as_bytes()), m.id.as_str()));
+    ranked
+}
+
 /// Whether an instance reads the store itself.
 pub fn is_relay(id: &InstanceId, members: &[ListedInstance], duty_holder: Option<&str>) -> bool {
     let relays = relays_of(members, duty_holder);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -197,3 +197,12 @@
     let later = soon + Duration::from_secs(4);
     assert!(lag.expects(None, point, Some(later - Duration::from_millis(500)), later));
 }
+
+/// When a cut takes the holder and the first in line away, the duty must not stay open for the length of the whole line.
+#[test]
+fn the_last_in_line_takes_a_lapsed_duty_within_seconds() {
+    let mut view = DutyView::default();
+    view.on_read(Some((Version(7), duty("a", 3))), START);
+    let late = START + Duration::from_millis(5_100);
+    assert!(view.due(&"z".into(), Incarnation(1), 86, PERIOD, late).is_some());
+}
