Give a primary no new work in the last 200 ms of a view lease

Cause: at the end of the lease, writes under way were cut off and answered as in doubt. Refusals now name the version and age of what they rest on.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -11,6 +11,9 @@
 /// stopped before another one may rely on it.
 pub const VIEW_LEASE: Duration = Duration::from_secs(4);
 
+/// Time before the end of the view lease in which a primary gets no new work, so that what runs can still be answered.
+pub const LAST_WORK: Duration = Duration::from_millis(200);
+
 /// Whether a service has a primary that may be used now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PrimaryView {
@@ -67,9 +70,9 @@
         now < self.records_proved + VIEW_LEASE
     }
 
-    /// The primary of a service at `now`.
+    /// The primary of a service that may get new work at `now`.
     pub fn primary(&self, service: &str, now: Time) -> PrimaryView {
-        if !self.view_lease_holds(now) {
+        if !self.view_lease_holds(now + LAST_WORK) {
             return PrimaryView::Unproved;
         }
         match self.primaries.get(service) {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -3,7 +3,7 @@
 use crate::{CallerError, clock};
 use std::cell::Cell;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{Time, Version};
 
 /// Lines about requests that one thread writes in a second.
 const LINES_PER_SECOND: u32 = 40;
@@ -34,6 +34,21 @@
     pub detail: &'a str,
     /// Time from the request to its answer.
     pub took: Duration,
+    /// What the instance knew when it answered.
+    pub known: Known,
+}
+
+/// Versions and ages of what decisions rest on.
+#[derive(Debug, Clone, Copy)]
+pub struct Known {
+    /// Version of the configuration.
+    pub configuration: Version,
+    /// Age of the configuration's last reading.
+    pub configuration_age: Duration,
+    /// Age of the last reading of primaries and members.
+    pub records_age: Duration,
+    /// Epoch of the primary of the service.
+    pub epoch: u64,
 }
 
 /// A statement that is tried again.
@@ -77,7 +92,11 @@
         database = event.database,
         error = event.error.name(),
         detail = event.detail,
-        took_ms = event.took.as_millis() as u64;
+        took_ms = event.took.as_millis() as u64,
+        configuration = event.known.configuration.0,
+        configuration_age_ms = event.known.configuration_age.as_millis() as u64,
+        records_age_ms = event.known.records_age.as_millis() as u64,
+        epoch = event.known.epoch;
         "statement not served"
     );
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 pub use backend_server::{BackendServer, Role};
 pub use caller_error::CallerError;
 pub use configuration::{Configuration, Freshness, OrganisationRule, RouteRule, ServiceRule};
-pub use directory::{Directory, PrimaryView, VIEW_LEASE};
+pub use directory::{Directory, LAST_WORK, PrimaryView, VIEW_LEASE};
 pub use discovery::{Discovery, Promoter, PromotionAnswer, PromotionOrder};
 pub use edges::{
     CallerLink, Command, Connected, ConnectionError, Connector, Login, ServerConnection, ServerStatus, Target,
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -5,7 +5,7 @@
 use super::service_pool::{Grant, Granted, Lane, ServicePool, Waiter};
 use crate::metrics::{ConnectResult, Metrics};
 use crate::profile::{Profile, SessionValues};
-use crate::{Connected, Connector, Directory, PrimaryView, Target, clock};
+use crate::{Connected, Connector, Directory, LAST_WORK, PrimaryView, Target, clock};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -527,7 +527,8 @@
         match deposed {
             Some(server) => {
                 log::info!(service:% = service, server:% = server, epoch, unproved; "primary no longer used");
-                let grace = if unproved { Duration::ZERO } else { RELEASE_GRACE };
+                // In both cases the connections are closed before anybody may count on it.
+                let grace = if unproved { LAST_WORK / 2 } else { RELEASE_GRACE };
                 let pool = Rc::clone(self);
                 let service = Arc::clone(service);
                 let task = async move {
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{LogPoint, Time, Version};
 
 /// Part of a statement's time that is kept for the way back to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
@@ -172,11 +172,22 @@
                     Outcome::Done { .. } => "",
                 },
                 took,
+                known: self.known(clock::now()),
             });
         }
         answer
     }
 
+    fn known(&self, now: Time) -> event_log::Known {
+        let directory = self.cx.pool.directory();
+        event_log::Known {
+            configuration: directory.configuration.as_ref().map_or(Version(0), |c| c.version),
+            configuration_age: now.saturating_since(directory.configuration_proved),
+            records_age: now.saturating_since(directory.records_proved),
+            epoch: directory.primaries.get(&self.service).map_or(0, |r| r.epoch),
+        }
+    }
+
     fn kind(&self, req: &Request) -> StatementKind {
         let alone = self.transaction.is_none();
         match &req.statement {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -8,7 +8,7 @@
 use wasabiyard_gateway::peer::Envelope;
 use wasabiyard_gateway::traffic::{Candidate, ReplicaLag, choose, required_point};
 use wasabiyard_gateway::{
-    Directory, PeerMessage, PrimaryRecord, PrimaryView, Profile, SessionValues, VIEW_LEASE,
+    Directory, LAST_WORK, PeerMessage, PrimaryRecord, PrimaryView, Profile, SessionValues, VIEW_LEASE,
 };
 use wasabiyard_model::{Incarnation, InstanceId, LogPoint, Time, Version};
 
@@ -25,15 +25,16 @@
     directory
         .primaries
         .insert("members".into(), PrimaryRecord::first("p".into()));
-    let last = START + VIEW_LEASE - Duration::from_millis(1);
+    let last = START + VIEW_LEASE - LAST_WORK - Duration::from_millis(1);
     assert!(matches!(
         directory.primary("members", last),
         PrimaryView::Usable { .. }
     ));
-    assert_eq!(
-        directory.primary("members", START + VIEW_LEASE),
-        PrimaryView::Unproved
-    );
+    // New work stops a little before the lease ends, so that a write that runs is not left in doubt.
+    let stop = START + VIEW_LEASE - LAST_WORK;
+    assert_eq!(directory.primary("members", stop), PrimaryView::Unproved);
+    assert!(directory.view_lease_holds(stop));
+    assert!(!directory.view_lease_holds(START + VIEW_LEASE));
 }
 
 /// A key that was withdrawn must not work at an instance that cannot read the configuration.
