--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -28,6 +28,8 @@
     pub organisation: &'a str,
     /// Name of the route.
     pub database: &'a str,
+    /// Service that runs it.
+    pub service: &'a str,
     /// Class of the error.
     pub error: CallerError,
     /// The error's text.
@@ -81,6 +83,36 @@
     );
 }
 
+/// A statement that was sent and not answered.
+#[derive(Debug, Clone, Copy)]
+pub struct Unanswered<'a> {
+    /// The caller's id of the statement.
+    pub request: &'a str,
+    /// The service.
+    pub service: &'a str,
+    /// Backend server that it was sent to.
+    pub server: &'a str,
+    /// Epoch under which the server was used as the primary, 0 for a replica.
+    pub epoch: u64,
+    /// Why there was no answer.
+    pub cause: &'static str,
+}
+
+/// Writes a line about a statement that was sent and not answered, or counts it as left out.
+pub fn unanswered(event: &Unanswered<'_>) {
+    if !may_write(clock::now()) {
+        return;
+    }
+    log::info!(
+        request = event.request,
+        service = event.service,
+        server = event.server,
+        epoch = event.epoch,
+        cause = event.cause;
+        "no answer from a backend server"
+    );
+}
+
 /// Writes a line about a statement that was not served, or counts it as left out.
 pub fn refused(event: &Refused<'_>) {
     if !may_write(clock::now()) {
@@ -90,6 +122,7 @@
         request = event.request,
         organisation = event.organisation,
         database = event.database,
+        service = event.service,
         error = event.error.name(),
         detail = event.detail,
         took_ms = event.took.as_millis() as u64,
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -166,6 +166,7 @@
                 request: &req.id,
                 organisation: &self.organisation,
                 database: &self.login.database,
+                service: &self.service,
                 error,
                 detail: match &answer.outcome {
                     Outcome::Error { detail, .. } => detail,
@@ -482,6 +483,7 @@
                     Some(error) => return relay(answer, error),
                 },
                 Err(e) if work.writes => {
+                    log_unanswered(req, &lease, &e);
                     let error = match e {
                         LeaseError::Connection(crate::ConnectionError::Silent) => CallerError::TimedOut,
                         _ => CallerError::InDoubt,
@@ -530,7 +532,10 @@
             let answer = match lease.run(work.command(req, None), left).await {
                 Ok(answer) => answer,
                 // The transaction ends with its connection, and its commit was never sent.
-                Err(e) => return self.fail(CallerError::Aborted, lost_detail(&e)),
+                Err(e) => {
+                    log_unanswered(req, lease, &e);
+                    return self.fail(CallerError::Aborted, lost_detail(&e));
+                }
             };
             *wrote |= work.writes;
             match answer.failure() {
@@ -671,7 +676,10 @@
                 answer.phase = Phase::Idle;
                 answer
             }
-            Err(e) => Answer::error(CallerError::InDoubt, lost_detail(&e), Phase::Idle),
+            Err(e) => {
+                log_unanswered(req, &lease, &e);
+                Answer::error(CallerError::InDoubt, lost_detail(&e), Phase::Idle)
+            }
         }
     }
 
@@ -785,6 +793,19 @@
     }
 }
 
+fn log_unanswered<C>(req: &Request, lease: &Lease<C>, e: &LeaseError)
+where
+    C: Connector + 'static,
+{
+    event_log::unanswered(&event_log::Unanswered {
+        request: &req.id,
+        service: &lease.service,
+        server: &lease.server,
+        epoch: lease.epoch.unwrap_or(0),
+        cause: lost_cause(e),
+    });
+}
+
 const fn lost_cause(e: &LeaseError) -> &'static str {
     match e {
         LeaseError::Connection(crate::ConnectionError::Silent) => "silent",
