--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -193,3 +193,13 @@
     assert!(refused[1] <= 2, "{} of 200 urgent operations refused", refused[1]);
     assert!(refused[0] >= 700, "{} of 1,800 others refused", refused[0]);
 }
+
+/// When all instances start anew, callers come back at once; the first of them must not all be refused.
+#[test]
+fn first_operations_after_a_start_are_served() {
+    let mut fleet = Fleet::new(7, 100.0, 100.0);
+    let passed = fleet.run(Duration::from_millis(200), |_| 14.0);
+    let served: u32 = passed.iter().sum();
+    let offered = 0.2 * 7.0 * 14.0;
+    assert!(f64::from(served) >= offered * 0.8, "{served} of {offered}");
+}
