--- a/crates/gateway/src/traffic/run_alone.rs
+++ b/crates/gateway/src/traffic/run_alone.rs
@@ -7,21 +7,22 @@
 use super::session::{ANSWER_MARGIN, RETRY_PAUSE, Session};
 use super::work::Work;
 use crate::{
-    Answer, CallerError, ConnectionError, Connector, Freshness, Phase, Request, RouteRule, clock, event_log,
+    Answer, CallerError, ConnectionError, Connector, Freshness, Phase, Request, RouteRule, Shape, clock,
+    event_log,
 };
 use async_io::Timer;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{LogPoint, Time};
 
 /// A read that takes this many times the usual latency is tried on another server.
-pub(super) const SLOW_READ_FACTOR: u32 = 10;
+const SLOW_READ_FACTOR: u32 = 10;
 /// Shortest time after which a read is tried on another server.
-pub(super) const MIN_READ_WAIT: Duration = Duration::from_millis(300);
+const MIN_READ_WAIT: Duration = Duration::from_millis(300);
 /// Longest pause between runs that a server was too busy for; the pause doubles up to it.
-pub(super) const MAX_BUSY_PAUSE: Duration = Duration::from_millis(160);
+const MAX_BUSY_PAUSE: Duration = Duration::from_millis(160);
 /// Runs of one read that may fail at backend servers.
-pub(super) const MAX_FAILED_READS: u32 = 2;
+const MAX_FAILED_READS: u32 = 2;
 
 impl<C> Session<C>
 where
@@ -59,29 +60,17 @@
             } else {
                 self.need(route, asked)
             };
-            let mut lease = match self.acquire(route, need, deadline).await {
-                Ok(lease) => lease,
+            let shape = work.execute.as_ref().map(|(shape, _)| shape);
+            let (mut lease, at_least) = match self.place(route, need, shape, deadline).await {
+                Ok(placed) => placed,
                 Err((error, detail)) => return Answer::error(error, detail, Phase::Idle),
             };
-            if let Err(e) = self.make_ready(&mut lease, work).await {
-                log::debug!(request:% = req.id, server:% = lease.server, error:? = e; "connection not usable");
-                continue;
-            }
             let now = clock::now();
-            if need == Need::Primary && !lease.leads(now) {
-                drop(lease);
-                Timer::after(RETRY_PAUSE).await;
-                continue;
-            }
-            let at_least = match need {
-                Need::Holding(point) if lease.epoch.is_none() => Some(point),
-                _ => None,
-            };
             let left = deadline.saturating_since(now);
             let timeout = if work.writes {
                 left
             } else {
-                left.min((self.cx.pool.latency(&lease) * SLOW_READ_FACTOR).max(MIN_READ_WAIT))
+                self.read_wait(&lease, left)
             };
             let result = lease.run(work.command(req, at_least), timeout).await;
             let now = clock::now();
@@ -190,19 +179,52 @@
         self.cx.pool.acquire(&ask).await.map_err(refusal)
     }
 
-    /// Brings a connection into the state that a statement needs. Nothing of the statement is sent.
-    pub(super) async fn make_ready(&self, lease: &mut Lease<C>, work: &Work) -> Result<(), LeaseError> {
+    /// Leases a connection that is ready for the session, with the log point that its server has to be asked for.
+    /// Nothing of a statement is sent.
+    pub(super) async fn place(
+        &self,
+        route: &RouteRule,
+        need: Need,
+        shape: Option<&Shape>,
+        deadline: Time,
+    ) -> Result<(Lease<C>, Option<LogPoint>), Refusal> {
+        loop {
+            let mut lease = self.acquire(route, need, deadline).await?;
+            if let Err(e) = self.make_ready(&mut lease, shape).await {
+                log::debug!(server:% = lease.server, error:? = e; "connection not usable");
+                lease.discard();
+                continue;
+            }
+            if need == Need::Primary && !lease.leads(clock::now()) {
+                drop(lease);
+                Timer::after(RETRY_PAUSE).await;
+                continue;
+            }
+            let at_least = match need {
+                Need::Holding(point) if lease.epoch.is_none() => Some(point),
+                _ => None,
+            };
+            return Ok((lease, at_least));
+        }
+    }
+
+    /// Brings a connection into the state that the session needs.
+    async fn make_ready(&self, lease: &mut Lease<C>, shape: Option<&Shape>) -> Result<(), LeaseError> {
         if !lease.is_quiet() {
-            lease.discard();
             return Err(LeaseError::Connection(ConnectionError::Closed));
         }
         lease.adjust(&self.values).await?;
-        match &work.execute {
-            Some((shape, _)) => lease.prepare(shape).await,
+        match shape {
+            Some(shape) => lease.prepare(shape).await,
             None => Ok(()),
         }
     }
 
+    /// Longest wait for a read at a server before another one is tried.
+    pub(super) fn read_wait(&self, lease: &Lease<C>, left: Duration) -> Duration {
+        left.min((self.cx.pool.latency(lease) * SLOW_READ_FACTOR).max(MIN_READ_WAIT))
+    }
+
     pub(super) async fn take_rate(&self, route: &RouteRule) -> Result<(), Refusal> {
         if &*self.organisation == ANONYMOUS {
             return Ok(());
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -2,7 +2,6 @@
 
 use super::refusal::{Refusal, log_unanswered, lost_detail};
 use super::requirement::Need;
-use super::run_alone::{MIN_READ_WAIT, SLOW_READ_FACTOR};
 use super::session::{ANSWER_MARGIN, RETRY_PAUSE, Session};
 use super::transaction::Transaction;
 use super::work::Work;
@@ -140,23 +139,8 @@
             } else {
                 self.need(&route, began)
             };
-            let mut lease = self.acquire(&route, need, deadline).await?;
-            if !lease.is_quiet() || lease.adjust(&self.values).await.is_err() {
-                lease.discard();
-                continue;
-            }
-            let now = clock::now();
-            if need == Need::Primary && !lease.leads(now) {
-                drop(lease);
-                Timer::after(RETRY_PAUSE).await;
-                continue;
-            }
-            let at_least = match need {
-                Need::Holding(point) if lease.epoch.is_none() => Some(point),
-                _ => None,
-            };
-            let left = deadline.saturating_since(now);
-            let timeout = left.min((self.cx.pool.latency(&lease) * SLOW_READ_FACTOR).max(MIN_READ_WAIT));
+            let (mut lease, at_least) = self.place(&route, need, None, deadline).await?;
+            let timeout = self.read_wait(&lease, deadline.saturating_since(clock::now()));
             let cmd = Command::Begin { read_only, at_least };
             match lease.run(cmd, timeout).await {
                 Ok(answer) => match answer.failure() {
