Remove what nothing calls, and compute a keeper's limits in one place

RateBook::reserve with its type and PeerSocket::dropped had no caller. No behaviour changes; linter on the workspace and the tests of the gateway and the node pass.

--- a/crates/gateway/src/peer/peer_socket.rs
+++ b/crates/gateway/src/peer/peer_socket.rs
@@ -2,7 +2,6 @@
 
 use super::{Envelope, PeerMessage};
 use async_io::Async;
-use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use wasabiyard_model::{Incarnation, InstanceId};
@@ -16,7 +15,6 @@
     socket: Async<UdpSocket>,
     id: InstanceId,
     incarnation: Incarnation,
-    dropped: Cell<u64>,
 }
 
 impl PeerSocket {
@@ -30,11 +28,10 @@
             socket: Async::<UdpSocket>::bind(address)?,
             id,
             incarnation,
-            dropped: Cell::new(0),
         })
     }
 
-    /// Sends a message. A message that cannot be sent now is dropped and counted, because all of them are repeated.
+    /// Sends a message. A message that cannot be sent now is dropped and logged, because all of them are repeated.
     pub fn send(&self, to: SocketAddr, message: PeerMessage, secret: &[u8]) {
         let envelope = Envelope {
             from: self.id.clone(),
@@ -42,7 +39,6 @@
             message,
         };
         if let Err(e) = self.socket.get_ref().send_to(&envelope.seal(secret), to) {
-            self.dropped.set(self.dropped.get() + 1);
             log::debug!(peer:% = to, error:% = e; "a message to a peer was dropped");
         }
     }
@@ -58,9 +54,4 @@
         buf.truncate(len);
         Ok(from)
     }
-
-    /// Messages that could not be sent.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.get()
-    }
 }
--- a/crates/gateway/src/rate/mod.rs
+++ b/crates/gateway/src/rate/mod.rs
@@ -12,7 +12,7 @@
 
 pub use keeper::RateKeeper;
 pub use placement::keeper_of;
-pub use rate_book::{RateBook, Reserve};
+pub use rate_book::RateBook;
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/crates/gateway/src/rate/rate_book.rs
+++ b/crates/gateway/src/rate/rate_book.rs
@@ -16,15 +16,6 @@
 /// Pause between questions to a keeper that does not answer.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// Part of a rate that may be spent without the keeper.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Reserve {
-    /// Operations a second.
-    pub rate: f64,
-    /// When it ends.
-    pub until: Time,
-}
-
 #[derive(Debug)]
 struct Account {
     rule: Arc<OrganisationRule>,
@@ -80,10 +71,7 @@
                 account.ask_after = now;
                 account.keeper = keeper;
             }
-            let limits = Limits {
-                rate: rule.rate,
-                cap: rule.burst + self.tolerance,
-            };
+            let limits = limits_of(rule, self.tolerance);
             if account.keeper.as_ref() == Some(&self.me) {
                 account
                     .kept
@@ -100,10 +88,7 @@
     pub fn set_tolerance(&mut self, tolerance: f64) {
         self.tolerance = tolerance;
         for account in self.accounts.values_mut() {
-            let limits = Limits {
-                rate: account.rule.rate,
-                cap: account.rule.burst + tolerance,
-            };
+            let limits = limits_of(&account.rule, tolerance);
             if let Some(kept) = &mut account.kept {
                 kept.set_limits(limits);
             }
@@ -163,13 +148,11 @@
         let least = account.rule.rate * UNANSWERED_PART / self.fleet as f64;
         account.local.take(least, wish.patience, now)
     }
+}
 
-    /// The reserve at another keeper.
-    pub fn reserve(&self, organisation: &str) -> Option<Reserve> {
-        let account = self.accounts.get(organisation)?;
-        Some(Reserve {
-            rate: account.local.rate,
-            until: account.local.until,
-        })
+fn limits_of(rule: &OrganisationRule, tolerance: f64) -> Limits {
+    Limits {
+        rate: rule.rate,
+        cap: rule.burst + tolerance,
     }
 }
