Let a relay that forgot old changes start its followers anew

Cause: after 500 parts that are gone, a relay refused every mark older than that. The first page of a view with more than 30 parts carries such a mark, so a follower got the same page again and again, and its view never became whole. A follower of the same process that was behind also kept parts that were gone.

Change: each forgetting starts a new generation, which is part of the mark. An unknown mark gets the whole view, and a page that starts anew clears what the follower had.

Test: a_relay_that_has_forgotten_old_changes_still_serves_whole_views; before: 'the view never became whole'.

--- a/crates/gateway/src/view/follower.rs
+++ b/crates/gateway/src/view/follower.rs
@@ -39,7 +39,7 @@
 
     /// Takes over a page of the relay that was asked.
     pub fn take(&mut self, page: ViewPage) -> Followed {
-        if page.restart && self.mark.incarnation != page.mark.incarnation {
+        if page.restart {
             self.parts.clear();
         }
         self.changed |= page.restart || !page.entries.is_empty();
--- a/crates/gateway/src/view/view_entry.rs
+++ b/crates/gateway/src/view/view_entry.rs
@@ -52,6 +52,8 @@
 pub struct ViewMark {
     /// The process.
     pub incarnation: u64,
+    /// Which of the sequences of changes of this process, each of which begins with the whole view.
+    pub generation: u64,
     /// Number of the last change.
     pub change: u64,
 }
--- a/crates/gateway/src/view/view_table.rs
+++ b/crates/gateway/src/view/view_table.rs
@@ -13,9 +13,9 @@
 #[derive(Debug, Default)]
 pub struct ViewTable {
     incarnation: u64,
+    /// Rises each time that parts that are gone are forgotten, so that all askers begin anew.
+    generation: u64,
     last_change: u64,
-    /// Changes up to this number are not known any more.
-    forgotten: u64,
     parts: BTreeMap<ViewKey, (u64, Option<ViewValue>)>,
 }
 
@@ -62,14 +62,14 @@
         let gone = self.parts.values().filter(|(_, value)| value.is_none());
         if gone.count() > MAX_GONE {
             self.parts.retain(|_, (_, value)| value.is_some());
-            self.forgotten = self.last_change;
+            self.generation += 1;
         }
     }
 
     /// The page for an asker that knows the view up to `mark`.
     pub fn page(&self, mark: ViewMark, ages: ViewAges, configuration: Version) -> ViewPage {
         let known = mark.incarnation == self.incarnation
-            && mark.change >= self.forgotten
+            && mark.generation == self.generation
             && mark.change <= self.last_change;
         let since = if known { mark.change } else { 0 };
         let mut changed: Vec<_> = self
@@ -87,6 +87,7 @@
         ViewPage {
             mark: ViewMark {
                 incarnation: self.incarnation,
+                generation: self.generation,
                 change: through,
             },
             restart: !known,
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -80,6 +80,32 @@
     );
 }
 
+/// A relay that runs for weeks forgets parts that are gone. A view of several pages must still become whole for followers
+/// that start anew, and must lose what is gone for those that were behind.
+#[test]
+fn a_relay_that_has_forgotten_old_changes_still_serves_whole_views() {
+    let relay = InstanceId::from("a");
+    let mut table = ViewTable::new(1);
+    let mut behind = Follower::default();
+    table.replace(|_| true, vec![primary(1, 1)]);
+    catch_up(&mut behind, &relay, &table);
+    for round in 0..20 {
+        let parts = (0..60).map(|service| primary(2 + (round % 2) * 100 + service, round));
+        table.replace(|_| true, parts.collect());
+    }
+    for generation in 0..600_u16 {
+        let key = ViewKey::Server(format!("server{generation}").into());
+        table.replace(|k| *k == key, vec![(key.clone(), ViewValue::DomainOut)]);
+        table.replace(|k| *k == key, Vec::new());
+    }
+    let expected: BTreeMap<_, _> = (0..60).map(|service| primary(102 + service, 19)).collect();
+    for mut follower in [behind, Follower::default()] {
+        catch_up(&mut follower, &relay, &table);
+        let seen: BTreeMap<_, _> = follower.parts().map(|(k, v)| (k.clone(), v.clone())).collect();
+        assert_eq!(seen, expected);
+    }
+}
+
 #[test]
 fn an_unchanged_view_costs_no_entries() {
     let mut table = ViewTable::new(1);
