Mark instances in the register as leaving or silent before they are taken off it

Cause: whoever replaced a primary waited a whole view lease (4.25 s) for each instance that it had seen disappear from the register, also for one that had ended on request. And a holder of the duty that had just started did not know of a silent instance that an earlier holder had deleted, so it did not wait for its view lease. A third gap: an instance that registered between the holder's last reading and the new record was not waited for.

Ruled out: a wait of one view lease after each start of a holder; it would hold up writes after each loss of power.

Change: an entry is live, leaving (written by the instance itself when it has ended all use of primaries) or silent (written by the holder after 8 s). Leaving entries are not waited for; silent ones until a view lease after the mark, and only then deleted. A change of primary reads the register once after its record is written. The memory of departed instances is gone.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -184,14 +184,13 @@
                 }
                 ControlEvent::Released { from, service, epoch } => {
                     let mut state = self.state.borrow_mut();
-                    let known = state.released.entry((from, service)).or_default();
-                    *known = epoch.max(*known);
+                    state.register.on_released(from, service, epoch);
                 }
                 ControlEvent::ViewAsk { from, question, mark } => self.on_view_ask(from, question, mark),
                 ControlEvent::ViewAnswer { question, page } => self.on_view_answer(question, page),
                 ControlEvent::Report { from, unreachable } => {
                     let mut state = self.state.borrow_mut();
-                    state.heard.insert(from.clone(), now);
+                    state.register.on_heard(&from, now);
                     state.reports.on_report(from, unreachable, now);
                 }
             }
--- a/crates/gateway/src/control/duty_loop.rs
+++ b/crates/gateway/src/control/duty_loop.rs
@@ -4,7 +4,6 @@
 use super::duty::DutyRecord;
 use super::poll::RECORDS_PERIOD;
 use super::records;
-use super::state::State;
 use crate::view::ranking;
 use crate::{Connector, Discovery, Promoter, clock};
 use async_io::Timer;
@@ -12,14 +11,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{Time, Version};
-use wasabiyard_platform::{Expect, Platform};
+use wasabiyard_platform::{Expect, ListedInstance, ListedState, Platform};
 
 /// Period of the duty's renewal.
 const RENEWAL_PERIOD: Duration = Duration::from_secs(1);
 /// Period of looking whether the duty is due.
 const TICK: Duration = Duration::from_millis(60);
-/// An instance that is silent for this long is taken off the register.
-const SILENT_INSTANCE: Duration = Duration::from_secs(8);
 
 impl<P, D, M, C> Control<P, D, M, C>
 where
@@ -76,55 +73,49 @@
         let mut state = self.state.borrow_mut();
         state.duty.on_written(version, record, sent, clock::now());
         state.directory.duty_holder = state.duty.holder().map(Arc::clone);
-        self.tidy_members(&mut state, sent);
         drop(state);
         self.publish();
     }
 
-    fn tidy_members(&self, state: &mut State, now: Time) {
-        let me = &self.settings.instance.id;
-        state.heard.insert(me.clone(), now);
-        let members: Vec<_> = state.directory.members.iter().map(|m| m.id.clone()).collect();
-        state.heard.retain(|id, _| members.contains(id));
-    }
-
-    /// Silent instances are taken off the register, so that their part of rates and connections is free again.
-    pub(super) async fn remove_silent_instances(&self) {
+    /// Marks silent instances, so that their part of rates and connections is free again, and deletes the entries of
+    /// instances that use no primary any more.
+    pub(super) async fn tidy_register(&self) {
         let now = clock::now();
-        let silent: Vec<_> = {
-            let state = self.state.borrow();
-            let heard = state.heard.iter();
-            let silent = heard.filter(|(id, at)| {
-                **id != self.settings.instance.id && now.saturating_since(**at) > SILENT_INSTANCE
-            });
-            silent
-                .filter_map(|(id, _)| {
-                    let version = state.instance_versions.get(id.as_str())?;
-                    Some((id.clone(), *version))
-                })
-                .collect()
+        let (silent, removable) = {
+            let mut state = self.state.borrow_mut();
+            state.register.on_heard(&self.settings.instance.id, now);
+            (state.register.newly_silent(now), state.register.removable(now))
         };
-        for (id, version) in silent {
+        for (version, marked) in silent {
+            let key = records::instance_key(marked.id.as_str());
+            let value = serde_json::json!(marked);
+            match self.platform.put(&key, Expect::Version(version), &value).await {
+                Ok(_) => log::info!(instance:% = marked.id; "instance marked as silent"),
+                Err(e) => log::info!(instance:% = marked.id, error:% = e; "silent instance not marked"),
+            }
+            self.state.borrow_mut().register.on_tidied(&marked.id, now);
+        }
+        for (version, id) in removable {
             match self
                 .platform
                 .delete(&records::instance_key(id.as_str()), version)
                 .await
             {
-                Ok(()) => log::info!(instance:% = id; "silent instance taken off the register"),
-                Err(e) => log::info!(instance:% = id, error:% = e; "silent instance stays on the register"),
+                Ok(()) => log::info!(instance:% = id; "ended instance taken off the register"),
+                Err(e) => log::info!(instance:% = id, error:% = e; "ended instance stays on the register"),
             }
-            self.state.borrow_mut().heard.insert(id, now);
+            self.state.borrow_mut().register.on_tidied(&id, now);
         }
     }
 
-    /// Gives up the duty and the registration.
+    /// Gives up the duty, and says that this instance uses no primary any more.
     pub(super) async fn sign_off(&self) {
         let me = &self.settings.instance;
         let (duty, version) = {
             let state = self.state.borrow();
             let duty = state.duty.record().cloned();
             let mine = duty.filter(|(_, r)| *r.holder == *me.id.as_str() && r.incarnation == me.incarnation);
-            (mine, state.instance_versions.get(me.id.as_str()).copied())
+            (mine, state.register.version(&me.id))
         };
         if let Some((version, mut record)) = duty {
             record.released = true;
@@ -136,7 +127,12 @@
         }
         if let Some(version) = version {
             let key = records::instance_key(me.id.as_str());
-            if let Err(e) = self.platform.delete(&key, version).await {
+            let leaving = ListedInstance {
+                state: ListedState::Leaving,
+                ..me.clone()
+            };
+            let value = serde_json::json!(leaving);
+            if let Err(e) = self.platform.put(&key, Expect::Version(version), &value).await {
                 log::info!(error:% = e; "this instance stays on the register");
             }
         }
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -190,7 +190,8 @@
                     state.adopt(service, record);
                 }
                 state.duty.on_read(duty, now);
-                state.take_members(members, now);
+                state.register.on_view(members, now);
+                state.on_register();
             }
             if asked - ages.servers > state.directory.servers_proved {
                 state.directory.servers = servers;
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -5,8 +5,9 @@
 use super::control_loop::Control;
 use super::control_loop::Outgoing;
 use super::failover::{CandidateStatus, candidates, choose_candidate, needs_move, newest};
+use super::pace::RETRY_PAUSE;
 use super::records;
-use super::state::LEASE_MARGIN;
+use super::register::LEASE_MARGIN;
 use crate::directory::VIEW_LEASE;
 use crate::{
     Connected, Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionAnswer,
@@ -15,6 +16,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::FutureExt;
+use futures_lite::future::zip;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,7 +52,7 @@
             if self.fence().is_none() {
                 continue;
             }
-            self.remove_silent_instances().await;
+            self.tidy_register().await;
             for service in self.services() {
                 if !self.state.borrow_mut().moving.insert(Arc::clone(&service)) {
                     continue;
@@ -179,42 +181,47 @@
     async fn wait_released(&self, service: &Arc<str>, record: &PrimaryRecord, from: &Arc<str>) {
         let started = clock::now();
         let end = started + VIEW_LEASE + LEASE_MARGIN;
+        let reading = self.read_register_since(started, end);
+        let releases = self.await_releases(service, record, started, end);
+        zip(reading, releases).await;
+        let took_ms = clock::now().saturating_since(started).as_millis() as u64;
+        log::info!(service:% = service, server:% = from, took_ms; "old primary is not used any more");
+    }
+
+    /// Reads the register once more. An instance that has just registered may have read the record that is replaced.
+    async fn read_register_since(&self, started: Time, end: Time) {
+        while self.state.borrow().register.read_at() < started && clock::now() < end {
+            self.read_records().await;
+            if self.state.borrow().register.read_at() < started {
+                Timer::after(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    async fn await_releases(&self, service: &Arc<str>, record: &PrimaryRecord, started: Time, end: Time) {
         let mut tell_at = started + TELL_PERIOD;
         loop {
-            let waiting = self.unreleased(service, record.epoch).len();
-            if waiting == 0 {
-                break;
+            let now = clock::now();
+            let (waiting, read_at) = {
+                let register = &self.state.borrow().register;
+                (
+                    register.unreleased(service, record.epoch, now),
+                    register.read_at(),
+                )
+            };
+            if waiting.is_empty() && read_at >= started {
+                return;
             }
-            if clock::now() >= end {
-                log::info!(service:% = service, waiting; "view leases have ended");
-                break;
+            if now >= end {
+                log::info!(service:% = service, waiting = waiting.len(); "view leases have ended");
+                return;
             }
-            if clock::now() >= tell_at {
-                let waiting = self.unreleased(service, record.epoch);
+            if now >= tell_at {
                 self.tell(service, record, waiting);
-                tell_at = clock::now() + TELL_PERIOD;
+                tell_at = now + TELL_PERIOD;
             }
             Timer::after(STEP_PERIOD).await;
         }
-        let took_ms = clock::now().saturating_since(started).as_millis() as u64;
-        log::info!(service:% = service, server:% = from, took_ms; "old primary is not used any more");
-    }
-
-    /// Instances that may still use a primary of an earlier epoch.
-    fn unreleased(&self, service: &Arc<str>, epoch: u64) -> Vec<InstanceId> {
-        let now = clock::now();
-        let state = self.state.borrow();
-        let departed = state.departed.iter();
-        let departed = departed.filter(|(_, until)| now < **until).map(|(id, _)| id);
-        let members = state.directory.members.iter().map(|m| &m.id);
-        members
-            .chain(departed)
-            .filter(|id| {
-                let key = (InstanceId::clone(id), Arc::clone(service));
-                state.released.get(&key).is_none_or(|e| *e < epoch)
-            })
-            .cloned()
-            .collect()
     }
 
     fn tell(&self, service: &Arc<str>, record: &PrimaryRecord, to: Vec<InstanceId>) {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -9,8 +9,10 @@
 mod pace;
 mod poll;
 mod records;
+mod register;
 mod state;
 
 pub use control_loop::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring, Outgoing};
 pub use duty::{DutyRecord, DutyView};
 pub use failover::{CandidateStatus, MoveReason, Reports, choose_candidate, needs_move};
+pub use register::{LEASE_MARGIN, Register};
--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -168,7 +168,7 @@
         if !secret {
             self.create_secret().await;
         }
-        if !registered {
+        if !registered && !self.state.borrow().stopping {
             self.register().await;
         }
         registered
@@ -186,10 +186,10 @@
             state.versions.insert(Arc::clone(&service), version);
             state.adopt(service, record);
         }
-        let instances = records.instances.iter();
-        state.instance_versions = instances.map(|(n, (v, _))| (Arc::clone(n), *v)).collect();
-        let members = records.instances.into_values().map(|(_, m)| m).collect();
-        state.take_members(members, now);
+        state
+            .register
+            .on_read(records.instances.into_values(), asked, now);
+        state.on_register();
         let directory = &mut state.directory;
         if let Some(secret) = records.secret {
             directory.peer_secret = Some(Arc::from(secret.key.as_bytes()));
@@ -212,15 +212,14 @@
     async fn register(&self) {
         let me = &self.settings.instance;
         let key = records::instance_key(me.id.as_str());
-        let version = self.state.borrow().instance_versions.get(me.id.as_str()).copied();
+        let version = self.state.borrow().register.version(&me.id);
         let expect = version.map_or(Expect::Absent, Expect::Version);
         let value = serde_json::json!(me);
         match self.platform.put(&key, expect, &value).await {
             Ok(version) => log::info!(version:% = version; "registered"),
             Err(PlatformError::Conflict { found, .. }) if found != Version(0) => {
                 // An earlier process of this name left its entry.
-                let name = Arc::from(me.id.as_str());
-                self.state.borrow_mut().instance_versions.insert(name, found);
+                self.state.borrow_mut().register.on_version(&me.id, found);
             }
             Err(e) => {
                 log::info!(error:% = e; "cannot register");
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -42,6 +42,8 @@
     Live,
     /// Will be stopped.
     Leaving,
+    /// Has not been heard for long. It may still run.
+    Silent,
 }
 
 /// An entry of the platform's list of instances. The list lags: an instance that is gone from it, after it was listed,
--- a/crates/wasabiyardd/src/control/control_loop/findings.rs
+++ b/crates/wasabiyardd/src/control/control_loop/findings.rs
@@ -109,6 +109,7 @@
         state: match listed.state {
             ListedState::Live => MemberState::Alive,
             ListedState::Leaving => MemberState::Leaving,
+            ListedState::Silent => MemberState::Suspect,
         },
         address: listed.address.clone(),
         failure_domain: listed.domain.clone(),
