Do not mark instances as silent that a new holder of the duty has not heard yet

Cause: signs of life go to the holder of the failover duty only. An instance that took the duty more than 8 s after its start had heard nobody, so it took every other instance off the register at once. All of them lost their proof of the primaries until they had registered anew, and each cost two calls to the store.

Ruled out: the cut of the primary (it ends at 11.3 s), and the store (it answers all other instances at that time).

Change: the time since which an instance has been silent counts from the moment at which the duty was taken.

Test: a_new_holder_gives_everybody_time_to_be_heard; it fails without the call.

--- a/crates/gateway/src/control/duty_loop.rs
+++ b/crates/gateway/src/control/duty_loop.rs
@@ -53,6 +53,7 @@
                     let taken = record.renewals == 0;
                     if taken {
                         log::info!(fence = record.fence; "holds the failover duty");
+                        self.state.borrow_mut().register.on_duty_taken(now);
                     }
                     self.on_duty_written(version, record, now);
                     if taken {
--- a/crates/gateway/src/control/register.rs
+++ b/crates/gateway/src/control/register.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// This instance has taken the failover duty, and signs of life come to it from now on.
+    pub fn on_duty_taken(&mut self, now: Time) {
+        for at in self.heard.values_mut() {
+            *at = now;
+        }
+    }
+
     /// An instance uses no primary of an epoch below `epoch` any more.
     pub fn on_released(&mut self, from: InstanceId, service: Arc<str>, epoch: u64) {
         let known = self.released.entry((from, service)).or_default();
--- a/crates/gateway/tests/register.rs
+++ b/crates/gateway/tests/register.rs
@@ -103,3 +103,19 @@
     assert_eq!(marked, [entry("b", 2, ListedState::Silent)]);
     assert_eq!(register.live().len(), 2);
 }
+
+/// Signs of life go to the holder of the duty only. An instance that takes the duty has heard nobody so far; if it marked
+/// all others, no instance would have a proved primary until it has registered anew.
+#[test]
+fn a_new_holder_gives_everybody_time_to_be_heard() {
+    let mut register = Register::default();
+    let listed = [entry("a", 1, ListedState::Live), entry("b", 2, ListedState::Live)];
+    register.on_read(listed.clone(), START, START);
+    let taken = START + Duration::from_mins(1);
+    register.on_duty_taken(taken);
+    register.on_read(listed, taken, taken);
+    assert!(register.newly_silent(taken).is_empty());
+    register.on_heard(&InstanceId::from("a"), taken + Duration::from_secs(7));
+    let marked = register.newly_silent(taken + Duration::from_secs(9));
+    assert_eq!(marked, [entry("b", 2, ListedState::Silent)]);
+}
