Do not replace a primary that is listed again

Cause: only an instance that reads the store itself noted when a recorded primary was missing from the list. One that read it during a gap and then followed a relay kept the old time, and when it took the duty it replaced a healthy primary at once.

Ruled out: reports of unreachable servers (none of this server at that time).

Change: a primary that is listed now is never gone, and followers note what is missing, too.

Test: a_primary_that_is_listed_again_is_not_gone; before: Some(Lost) in place of None.

--- a/crates/gateway/src/control/failover.rs
+++ b/crates/gateway/src/control/failover.rs
@@ -98,7 +98,8 @@
     if listed.is_some_and(|s| !directory.takes_new_work(s)) {
         return Some(MoveReason::Leaving);
     }
-    let lost = reports.is_missed(primary, directory, now) || reports.is_gone(primary, now);
+    let gone = listed.is_none() && reports.is_gone(primary, now);
+    let lost = gone || reports.is_missed(primary, directory, now);
     lost.then_some(MoveReason::Lost)
 }
 
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -195,6 +195,7 @@
             }
             if asked - ages.servers > state.directory.servers_proved {
                 state.directory.servers = servers;
+                state.reports.on_listed(&state.directory, now);
             }
             if asked - ages.domains > state.directory.domains_proved {
                 state.directory.domains_out = domains;
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -140,3 +140,22 @@
     let chosen = choose_candidate(&statuses).expect("a candidate");
     assert_eq!(&*chosen.server, "r2");
 }
+
+/// A follower that read the list itself while the primary's entry was missing takes the duty seconds after the entry came
+/// back by way of a relay. Replacing a healthy primary holds up writes for nothing.
+#[test]
+fn a_primary_that_is_listed_again_is_not_gone() {
+    let mut listed = directory();
+    let mut missing = listed.clone();
+    missing.servers.remove("p");
+    let mut reports = reports(&[], &["a", "b", "c", "d", "e", "f", "g"], NOW);
+    reports.on_listed(&missing, Time::from_millis(1_000));
+    assert_eq!(
+        needs_move("members", &missing, &reports, NOW),
+        Some(MoveReason::Lost)
+    );
+    assert_eq!(needs_move("members", &listed, &reports, NOW), None);
+    reports.on_listed(&listed, NOW);
+    listed.servers.remove("p");
+    assert_eq!(needs_move("members", &listed, &reports, NOW), None);
+}
