Tell the instance that changes a primary that the old one is not used any more

Cause: releases went to the holder of the duty as the sender knew it.

Change: a release also goes to the instance that told of the change of primary.

Test: a_release_goes_to_the_instance_that_told_of_the_change (the type is new).

--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -97,6 +97,8 @@
                 self.tell_control(ControlEvent::ViewAnswer { question, page });
             }
             PeerMessage::Recorded { service, record } => {
+                let told = Arc::clone(&service);
+                self.release_targets.borrow_mut().on_recorded(told, from);
                 self.tell_control(ControlEvent::Recorded { service, record });
             }
             PeerMessage::Released { service, epoch } => {
@@ -136,10 +138,19 @@
     }
 
     pub(super) fn tell_released(&self, service: &Arc<str>, epoch: u64) {
-        self.tell_duty_holder(&PeerMessage::Released {
+        let directory = self.pool.directory();
+        let me = &self.settings.instance.id;
+        let targets = self
+            .release_targets
+            .borrow()
+            .of(service, directory.duty_holder.as_deref(), me);
+        let message = PeerMessage::Released {
             service: Arc::clone(service),
             epoch,
-        });
+        };
+        for target in targets {
+            self.peers.send(&target, &message);
+        }
         self.tell_control(ControlEvent::Released {
             from: self.settings.instance.id.clone(),
             service: Arc::clone(service),
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::control::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring};
 use crate::metrics::{Metrics, MetricsError};
-use crate::peer::PeerSocket;
+use crate::peer::{PeerSocket, ReleaseTargets};
 use crate::rate::RateBook;
 use crate::traffic::{AdmissionGate, Pool, PoolSettings, SessionContext, SessionSettings};
 use crate::{Connector, Directory, Discovery, Promoter, clock};
@@ -110,6 +110,7 @@
     grace: Cell<Duration>,
     metrics: Rc<Metrics>,
     configured: RefCell<RateInputs>,
+    release_targets: RefCell<ReleaseTargets>,
 }
 
 impl<C> std::fmt::Debug for Gateway<C>
@@ -207,6 +208,7 @@
             stopping: Cell::new(false),
             metrics,
             configured: RefCell::default(),
+            release_targets: RefCell::default(),
         });
         executor
             .spawn(Rc::clone(&gateway).follow_directory(changed))
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wasabiyard_gateway::control::{DutyRecord, DutyView};
-use wasabiyard_gateway::peer::Envelope;
+use wasabiyard_gateway::peer::{Envelope, ReleaseTargets};
 use wasabiyard_gateway::traffic::{Candidate, ReplicaLag, choose, required_point};
 use wasabiyard_gateway::{
     Directory, LAST_WORK, PeerMessage, PrimaryRecord, PrimaryView, Profile, SessionValues, VIEW_LEASE,
@@ -207,3 +207,21 @@
     let late = START + Duration::from_millis(5_100);
     assert!(view.due(&"z".into(), Incarnation(1), 86, PERIOD, late).is_some());
 }
+
+/// The former holder of the duty cannot read the store and still takes itself for the holder. If it tells nobody else that
+/// it has stopped using a primary, the change of primary waits for its whole view lease.
+#[test]
+fn a_release_goes_to_the_instance_that_told_of_the_change() {
+    let me = InstanceId::from("old-holder");
+    let mut targets = ReleaseTargets::default();
+    assert!(targets.of("members", Some("old-holder"), &me).is_empty());
+    targets.on_recorded("members".into(), InstanceId::from("new-holder"));
+    assert_eq!(
+        targets.of("members", Some("old-holder"), &me),
+        [InstanceId::from("new-holder")]
+    );
+    assert_eq!(
+        targets.of("members", Some("new-holder"), &me),
+        [InstanceId::from("new-holder")]
+    );
+}
