Let statements wait for a connection for 0.4 of their time

Ruled out: waiting less for urgent classes only (the callers of all classes lose the same way).

Test: a_caller_that_is_refused_twice_can_still_try_a_third_time.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 mod admission_gate;
 mod connection_caps;
 mod lease;
+mod patience;
 mod placement;
 mod pool;
 mod pool_connect;
@@ -20,6 +21,7 @@
 
 pub use admission_gate::{AdmissionGate, SendTo};
 pub use connection_caps::ConnectionCaps;
+pub use patience::patience_end;
 pub use placement::{Candidate, ReplicaLag, choose};
 pub use pool::{Pool, PoolError, PoolSettings};
 pub use requirement::{Need, required_point};
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,6 +1,7 @@
 //! All connections to backend servers, and who gets the next one.
 
 use super::lease::Lease;
+use super::patience::patience_end;
 use super::primary_wait::{check_primary, refusal};
 use super::requirement::Need;
 use super::service_pool::{Grant, Granted, Lane, ServicePool, Waiter};
@@ -179,9 +180,10 @@
             values: Rc::clone(ask.values),
             reply: tx,
         };
-        self.enqueue(ask, waiter, now)?;
+        let give_up = patience_end(ask.deadline, now);
+        self.enqueue(ask, waiter, give_up, now)?;
         self.dispatch(ask.service, now);
-        let wait = ask.deadline.saturating_since(now) + Duration::from_millis(5);
+        let wait = give_up.saturating_since(now) + Duration::from_millis(5);
         let expired = async {
             Timer::after(wait).await;
             Err(PoolError::Deadline)
@@ -197,28 +199,30 @@
         &self,
         ask: &Ask<'_>,
         waiter: Waiter<Reply<C>>,
+        give_up: Time,
         now: Time,
     ) -> Result<(), PoolError> {
         let mut services = self.services.borrow_mut();
         let pool = services.get_mut(ask.service).ok_or(PoolError::NoServer)?;
         let lane = pool.lane(ask.need, now);
         if lane == Lane::Primary {
-            check_primary(pool, ask.deadline, now)?;
+            check_primary(pool, give_up, now)?;
         }
         let ahead = pool.queue(lane).ahead(ask.organisation, 1, ask.class);
         let connections = pool.connections(lane);
         if !pool.queue(lane).is_empty() {
             let admission = pool.admission(lane);
             let retry_after = admission.estimated_wait(ahead, connections, now);
-            admission
-                .admit(ahead, connections, ask.deadline, now)
-                .map_err(|_full| PoolError::Overloaded { retry_after })?;
+            let in_time = admission.admit(ahead, connections, ask.deadline, now).is_ok();
+            if !in_time || now + retry_after >= give_up {
+                return Err(PoolError::Overloaded { retry_after });
+            }
         }
         let waiting = Waiting {
             organisation: Arc::clone(ask.organisation),
             weight: 1,
             class: ask.class,
-            deadline: ask.deadline,
+            deadline: give_up,
         };
         pool.queue(lane)
             .push(waiting, waiter, now)
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -1,6 +1,8 @@
 //! Connections that an instance may hold at a server.
 
-use wasabiyard_gateway::traffic::ConnectionCaps;
+use std::time::Duration;
+use wasabiyard_gateway::traffic::{ConnectionCaps, patience_end};
+use wasabiyard_model::Time;
 
 /// A server keeps the connections of machines that lost power for some seconds. Unless idle ones leave room, the
 /// processes that come back cannot connect.
@@ -30,3 +32,14 @@
         assert!(ConnectionCaps::of(accepted, instances).open >= 2);
     }
 }
+
+/// An instance without free connections must leave its callers the time for an attempt at another instance, also when that
+/// one makes them wait, too.
+#[test]
+fn a_caller_that_is_refused_twice_can_still_try_a_third_time() {
+    let asked = Time::from_millis(5_000);
+    let deadline = asked + Duration::from_secs(1);
+    let second = patience_end(deadline, asked);
+    let third = patience_end(deadline, second);
+    assert!(deadline.saturating_since(third) > Duration::from_millis(300));
+}
