Let one loop at a time call a store that does not answer

Ruled out: longer pauses in each loop, which would notice the store's return later.

Change: a gate that all loops of an instance share. While calls fail, one goes out every 0.2 to 0.6 s; the others follow when it has been answered.

Tests: tests/store_gate.rs (the type is new).

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -11,8 +11,10 @@
 mod records;
 mod register;
 mod state;
+mod store_gate;
 
 pub use control_loop::{Control, ControlEvent, ControlHandle, ControlSettings, ControlWiring, Outgoing};
 pub use duty::{DutyRecord, DutyView};
 pub use failover::{CandidateStatus, MoveReason, Reports, choose_candidate, needs_move};
 pub use register::{LEASE_MARGIN, Register};
+pub use store_gate::StoreGate;
--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -13,6 +13,8 @@
 use wasabiyard_model::{Time, Version};
 use wasabiyard_platform::{Expect, Object, Platform, PlatformError};
 
+/// Period of looking whether a store that did not answer may be called again.
+const GATE_PERIOD: Duration = Duration::from_millis(60);
 /// Period of reading the configuration. Keys must stop working within seconds.
 pub(super) const CONFIGURATION_PERIOD: Duration = Duration::from_millis(900);
 /// Period of reading the own records. Must be well below the view lease.
@@ -34,9 +36,8 @@
         loop {
             let proved = self.state.borrow().directory.configuration_proved;
             if !self.is_followed(proved, CONFIGURATION_PERIOD) {
-                let asked = clock::now();
-                let result = self.discovery.configuration().await;
-                if let Some(configuration) = pace.settle(result) {
+                let call = self.discovery.configuration();
+                if let Some((configuration, asked)) = self.ask_store(&mut pace, call).await {
                     self.take_configuration(configuration, asked);
                     self.publish();
                 }
@@ -45,10 +46,37 @@
         }
     }
 
+    /// Makes a call to the store when it is worth while. Returns the answer with the time at which it was asked for.
+    async fn ask_store<T, F>(&self, pace: &mut Pace, call: F) -> Option<(T, Time)>
+    where
+        F: Future<Output = Result<T, PlatformError>>,
+    {
+        while !self.state.borrow_mut().store_gate.admits(clock::now()) {
+            Timer::after(GATE_PERIOD).await;
+        }
+        let asked = clock::now();
+        let result = call.await;
+        self.on_store_call(&result);
+        pace.settle(result).map(|value| (value, asked))
+    }
+
+    fn on_store_call<T>(&self, result: &Result<T, PlatformError>) {
+        let gate = &mut self.state.borrow_mut().store_gate;
+        match result {
+            Ok(_) => gate.on_answer(),
+            Err(_) => gate.on_failure(clock::now()),
+        }
+    }
+
     /// Reads the configuration once, because a relay has a newer one.
     pub(super) async fn read_configuration(&self) {
         let asked = clock::now();
-        match self.discovery.configuration().await {
+        if !self.state.borrow_mut().store_gate.admits(asked) {
+            return;
+        }
+        let result = self.discovery.configuration().await;
+        self.on_store_call(&result);
+        match result {
             Ok(configuration) => self.take_configuration(configuration, asked),
             Err(e) => log::info!(error:% = e; "a newer configuration cannot be read"),
         }
@@ -87,9 +115,8 @@
         loop {
             let proved = self.state.borrow().directory.servers_proved;
             if !self.is_followed(proved, SERVERS_PERIOD) {
-                let asked = clock::now();
-                let result = self.discovery.backend_servers().await;
-                if let Some(servers) = pace.settle(result) {
+                let call = self.discovery.backend_servers();
+                if let Some((servers, asked)) = self.ask_store(&mut pace, call).await {
                     self.take_servers(servers, asked);
                     self.publish();
                 }
@@ -103,9 +130,8 @@
         loop {
             let proved = self.state.borrow().directory.domains_proved;
             if !self.is_followed(proved, DOMAINS_PERIOD) {
-                let asked = clock::now();
-                let result = self.discovery.domains_out().await;
-                if let Some(domains) = pace.settle(result) {
+                let call = self.discovery.domains_out();
+                if let Some((domains, asked)) = self.ask_store(&mut pace, call).await {
                     self.take_domains(domains, asked);
                 }
             }
@@ -135,9 +161,8 @@
         loop {
             let proved = self.state.borrow().directory.records_proved;
             if !self.is_followed(proved, RECORDS_PERIOD) {
-                let asked = clock::now();
-                let result = self.platform.list(records::KIND).await;
-                if let Some(changes) = pace.settle(result)
+                let call = self.platform.list(records::KIND);
+                if let Some((changes, asked)) = self.ask_store(&mut pace, call).await
                     && !self.on_records(&changes.objects, asked).await
                 {
                     // The list has to be read again before it proves anything.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -4,6 +4,7 @@
 use super::failover::Reports;
 use super::follow::Questions;
 use super::register::Register;
+use super::store_gate::StoreGate;
 use crate::view::{Follower, ViewTable};
 use crate::{Directory, PrimaryRecord};
 use std::collections::{HashMap, HashSet};
@@ -21,6 +22,7 @@
     pub(super) view: ViewTable,
     pub(super) follower: Follower,
     pub(super) questions: Questions,
+    pub(super) store_gate: StoreGate,
     pub(super) stopping: bool,
 }
 
@@ -36,6 +38,7 @@
             view: ViewTable::new(incarnation),
             follower: Follower::default(),
             questions: Questions::default(),
+            store_gate: StoreGate::default(),
             stopping: false,
         }
     }
--- /dev/null
+++ b/crates/gateway/tests/store_gate.rs
@@ -0,0 +1,55 @@
+//! Calls to a store that does not answer.
+
+use std::time::Duration;
+use wasabiyard_gateway::control::StoreGate;
+use wasabiyard_model::Time;
+
+const LOOPS: usize = 4;
+const TICK: Duration = Duration::from_millis(20);
+
+/// Calls of one instance while the store refuses at once, from `from` to `to`.
+fn calls_while_down(gate: &mut StoreGate, from: Time, to: Time) -> usize {
+    let mut calls = 0;
+    let mut now = from;
+    while now < to {
+        for _ in 0..LOOPS {
+            if gate.admits(now) {
+                calls += 1;
+                gate.on_failure(now);
+            }
+        }
+        now = now + TICK;
+    }
+    calls
+}
+
+/// A store that is down for 4.5 s got 1,400 calls of 87 instances, which is more than it serves in a second when it is back.
+#[test]
+fn an_outage_costs_few_calls_and_ends_soon() {
+    let start = Time::from_millis(10_000);
+    let back = start + Duration::from_millis(4_500);
+    let mut gate = StoreGate::default();
+    let calls = calls_while_down(&mut gate, start, back);
+    assert!(calls <= 10, "{calls} calls");
+    let mut now = back;
+    while !gate.admits(now) {
+        now = now + TICK;
+    }
+    assert!(now < back + Duration::from_millis(700), "noticed at {now:?}");
+    gate.on_answer();
+    for _ in 0..LOOPS {
+        assert!(gate.admits(now));
+    }
+}
+
+/// A call that hangs tells nothing yet; the other loops must not pile up behind the same dead connection, nor wait for ever.
+#[test]
+fn one_loop_asks_at_a_time_while_the_store_is_silent() {
+    let start = Time::from_millis(10_000);
+    let mut gate = StoreGate::default();
+    gate.on_failure(start);
+    let asked = start + Duration::from_millis(300);
+    assert!(gate.admits(asked));
+    assert!(!gate.admits(asked + Duration::from_secs(1)));
+    assert!(gate.admits(asked + Duration::from_millis(1_400)));
+}
