Let two instances beside the holder read the store for a large fleet

Cause: with 87 instances two of them answered all others. When one was gone and the other was a small machine, answers came late, the followers' knowledge grew older than 1.8 s, and all of them read the store themselves.

Change: two relays beside the holder from 20 instances on, still three readers in all.

--- a/crates/gateway/src/view/relays.rs
+++ b/crates/gateway/src/view/relays.rs
@@ -6,13 +6,22 @@
 
 /// Instances that read the store beside the holder of the failover duty.
 const RELAYS: usize = 1;
+/// The same in a fleet of at least [`LARGE_FLEET`] instances, whose questions would overload a small machine.
+const RELAYS_OF_LARGE_FLEET: usize = 2;
+/// Instances from which on a fleet is large.
+const LARGE_FLEET: usize = 20;
 
 /// The relays in the order in which they are chosen. All instances that see the same register agree.
 pub fn relays_of<'a>(members: &'a [ListedInstance], duty_holder: Option<&str>) -> Vec<&'a ListedInstance> {
     let mut ranked = ranking(members);
     let holder = ranked.iter().position(|m| Some(m.id.as_str()) == duty_holder);
     let holder = holder.map(|i| ranked.remove(i));
-    ranked.truncate(RELAYS);
+    let relays = if members.len() < LARGE_FLEET {
+        RELAYS
+    } else {
+        RELAYS_OF_LARGE_FLEET
+    };
+    ranked.truncate(relays);
     ranked.extend(holder);
     ranked
 }
