--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -2,21 +2,16 @@
 //!
 //! Each step starts from the record in the store, so that another holder can go on after any of them.
 
-use super::control_loop::Control;
-use super::control_loop::Outgoing;
-use super::failover::{CandidateStatus, candidates, choose_candidate, needs_move, newest};
-use super::pace::RETRY_PAUSE;
+use super::control_loop::{Control, Outgoing};
+use super::failover::{choose_candidate, needs_move, newest};
 use super::records;
-use super::register::LEASE_MARGIN;
-use crate::directory::VIEW_LEASE;
+use super::server_questions::Question;
 use crate::{
-    Connected, Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionAnswer,
-    PromotionOrder, Role, ServerConnection, ServerStatus, Target, clock,
+    Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionAnswer, PromotionOrder,
+    Role, clock,
 };
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use futures_lite::FutureExt;
-use futures_lite::future::zip;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,17 +21,11 @@
 /// Period of looking at the primaries.
 const WATCH_PERIOD: Duration = Duration::from_millis(100);
 /// Period of asking whether a step has taken effect.
-const STEP_PERIOD: Duration = Duration::from_millis(40);
-/// Period of telling a new record again to instances that have not released the old primary.
-const TELL_PERIOD: Duration = Duration::from_millis(160);
-/// Longest time for one question to a server.
-const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const STEP_PERIOD: Duration = Duration::from_millis(40);
 /// Longest wait for replicas to receive what a primary that is leaving has.
 const CATCH_UP: Duration = Duration::from_millis(500);
 /// Longest wait for a promotion before it is ordered again.
 const PROMOTION_WAIT: Duration = Duration::from_millis(2_500);
-/// Organisation under which status connections are opened.
-const STATUS_ORGANISATION: &str = "wasabiyard";
 
 impl<P, D, M, C> Control<P, D, M, C>
 where
@@ -176,55 +165,7 @@
         self.finish_promotion(service, &next, from, candidate).await
     }
 
-    /// Waits until every registered instance has said that it does not use the old primary, or cannot use it any more
-    /// because its view lease has ended.
-    async fn wait_released(&self, service: &Arc<str>, record: &PrimaryRecord, from: &Arc<str>) {
-        let started = clock::now();
-        let end = started + VIEW_LEASE + LEASE_MARGIN;
-        let reading = self.read_register_since(started, end);
-        let releases = self.await_releases(service, record, started, end);
-        zip(reading, releases).await;
-        let took_ms = clock::now().saturating_since(started).as_millis() as u64;
-        log::info!(service:% = service, server:% = from, took_ms; "old primary is not used any more");
-    }
-
-    /// Reads the register once more. An instance that has just registered may have read the record that is replaced.
-    async fn read_register_since(&self, started: Time, end: Time) {
-        while self.state.borrow().register.read_at() < started && clock::now() < end {
-            self.read_records().await;
-            if self.state.borrow().register.read_at() < started {
-                Timer::after(RETRY_PAUSE).await;
-            }
-        }
-    }
-
-    async fn await_releases(&self, service: &Arc<str>, record: &PrimaryRecord, started: Time, end: Time) {
-        let mut tell_at = started + TELL_PERIOD;
-        loop {
-            let now = clock::now();
-            let (waiting, read_at) = {
-                let register = &self.state.borrow().register;
-                (
-                    register.unreleased(service, record.epoch, now),
-                    register.read_at(),
-                )
-            };
-            if waiting.is_empty() && read_at >= started {
-                return;
-            }
-            if now >= end {
-                log::info!(service:% = service, waiting = waiting.len(); "view leases have ended");
-                return;
-            }
-            if now >= tell_at {
-                self.tell(service, record, waiting);
-                tell_at = now + TELL_PERIOD;
-            }
-            Timer::after(STEP_PERIOD).await;
-        }
-    }
-
-    fn tell(&self, service: &Arc<str>, record: &PrimaryRecord, to: Vec<InstanceId>) {
+    pub(super) fn tell(&self, service: &Arc<str>, record: &PrimaryRecord, to: Vec<InstanceId>) {
         let message = PeerMessage::Recorded {
             service: Arc::clone(service),
             record: record.clone(),
@@ -237,17 +178,6 @@
         state.directory.members.iter().map(|m| m.id.clone()).collect()
     }
 
-    /// Makes the old primary refuse writes, if it can be reached. Returns its log point.
-    async fn depose(&self, service: &Arc<str>, from: &Arc<str>) -> Option<LogPoint> {
-        let status = self.ask(service, from, Question::Status).await?;
-        if !status.primary {
-            return Some(status.received);
-        }
-        let status = self.ask(service, from, Question::Depose(status)).await?;
-        log::info!(service:% = service, server:% = from, primary = status.primary; "old primary was told to step down");
-        Some(status.received)
-    }
-
     /// The server that shall take over. Waits a moment for one that has all that the old primary had.
     async fn await_candidate(
         &self,
@@ -277,22 +207,6 @@
         }
     }
 
-    async fn statuses(&self, service: &Arc<str>, from: &Arc<str>) -> Vec<CandidateStatus> {
-        let ids: Vec<_> = {
-            let state = self.state.borrow();
-            candidates(service, from, &state.directory)
-                .map(|s| Arc::clone(&s.id))
-                .collect()
-        };
-        let mut statuses = Vec::new();
-        for server in ids {
-            if let Some(status) = self.ask(service, &server, Question::Status).await {
-                statuses.push(CandidateStatus { server, status });
-            }
-        }
-        statuses
-    }
-
     /// Orders the promotion, waits until the successor leads, and records it.
     async fn finish_promotion(
         &self,
@@ -357,47 +271,4 @@
         self.tell(service, &next, self.members());
         Ok(())
     }
-
-    async fn ask(&self, service: &Arc<str>, server: &Arc<str>, question: Question) -> Option<ServerStatus> {
-        let target = {
-            let state = self.state.borrow();
-            let server = state.directory.servers.get(server)?;
-            Target {
-                service: Arc::clone(service),
-                organisation: Arc::from(STATUS_ORGANISATION),
-                server: Arc::clone(&server.id),
-                address: server.address,
-            }
-        };
-        let asked = async {
-            match self.connector.connect(&target).await {
-                Ok(Connected::Open(mut conn, _)) => {
-                    let answer = match question {
-                        Question::Status => conn.status().await,
-                        Question::Depose(status) => conn.depose(status.term.next()).await,
-                    };
-                    answer
-                        .inspect_err(|e| log::debug!(server:% = server, error:% = e; "no status"))
-                        .ok()
-                        .flatten()
-                }
-                Ok(_) => None,
-                Err(e) => {
-                    log::debug!(server:% = server, error:% = e; "no status");
-                    None
-                }
-            }
-        };
-        let expired = async {
-            Timer::after(ASK_TIMEOUT).await;
-            None
-        };
-        asked.or(expired).await
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-enum Question {
-    Status,
-    Depose(ServerStatus),
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,6 +10,8 @@
 mod poll;
 mod records;
 mod register;
+mod release_wait;
+mod server_questions;
 mod state;
 mod store_gate;
 
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod pool;
 mod pool_connect;
+mod pool_queue;
 mod primary_use;
 mod primary_wait;
 mod refusal;
--- a/crates/gateway/src/traffic/pool_connect.rs
+++ b/crates/gateway/src/traffic/pool_connect.rs
@@ -1,7 +1,7 @@
 //! Opening connections for waiters that got the right to one.
 
-use super::pool::PoolError;
-use super::pool::{Pool, Reply, hand_over};
+use super::pool::{Pool, PoolError, Reply};
+use super::pool_queue::hand_over;
 use super::primary_wait::{check_primary, refusal};
 use super::service_pool::{Lane, Waiter};
 use crate::metrics::ConnectResult;
--- a/crates/gateway/src/traffic/run_alone.rs
+++ b/crates/gateway/src/traffic/run_alone.rs
@@ -1,7 +1,7 @@
 //! Statements outside a transaction.
 
 use super::lease::{Lease, LeaseError};
-use super::pool::Ask;
+use super::pool_queue::Ask;
 use super::refusal::{ANONYMOUS, Refusal, log_unanswered, lost_cause, lost_detail, refusal, relay};
 use super::requirement::{Need, required_point};
 use super::session::{ANSWER_MARGIN, RETRY_PAUSE, Session};
