Add a command that merges the logs of instances around one request

On-call engineers have only the logs of the instances on the users' platform, where no admin address exists. The command merges them by time and, for one request, shows its lines with the changes of belief that came before.

--- a/crates/wasabiyardctl/src/arguments.rs
+++ b/crates/wasabiyardctl/src/arguments.rs
@@ -55,6 +55,9 @@
     /// Time line.
     #[options(help = "show the events of all instances on one time line")]
     Timeline(NoArguments),
+    /// Logs.
+    #[options(help = "merge log files of instances by time, and show what led to a request's outcome")]
+    Logs(LogsArguments),
 }
 
 /// Arguments of `manifest`.
@@ -137,6 +140,24 @@
     In(NameArguments),
 }
 
+/// Arguments of `logs`.
+#[derive(Debug, Options)]
+pub struct LogsArguments {
+    /// Print the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// A request.
+    #[options(
+        no_short,
+        help = "show this request and the changes of belief before its last line",
+        meta = "ID"
+    )]
+    pub request: Option<String>,
+    /// The files.
+    #[options(free, required, help = "log files, one for each instance")]
+    pub files: Vec<PathBuf>,
+}
+
 /// A name.
 #[derive(Debug, Options)]
 pub struct NameArguments {
--- a/crates/wasabiyardctl/src/command.rs
+++ b/crates/wasabiyardctl/src/command.rs
@@ -2,7 +2,7 @@
 
 use crate::arguments::{Command, ManifestCommand, ServiceArguments, ServiceCommand};
 use crate::{Arguments, Change, CtlError, Report, Settings, Subject, admin};
-use crate::{apply, change_service, check, digest_of_key, show, status_report, timeline_report};
+use crate::{apply, change_service, check, digest_of_key, logs_report, show, status_report, timeline_report};
 use rand::Rng as _;
 use std::path::Path;
 use wasabiyard_platform::HttpPlatform;
@@ -39,6 +39,7 @@
         Command::Status(_) => {
             status_report(admin::get_all(settings.admin()?, "/status", settings.timeout).await)
         }
+        Command::Logs(args) => logs_report(&args.files, args.request.as_deref()),
         Command::Timeline(_) => {
             timeline_report(admin::get_all(settings.admin()?, "/timeline", settings.timeout).await)
         }
--- a/crates/wasabiyardctl/src/error.rs
+++ b/crates/wasabiyardctl/src/error.rs
@@ -27,6 +27,13 @@
         #[source]
         source: io::Error,
     },
+    /// No log line is about a request.
+    #[error("no log line is about request {request}")]
+    #[diagnostic(help("give the logs of all instances; a line may also have been left out under load"))]
+    NoSuchRequest {
+        /// Its id.
+        request: String,
+    },
     /// A key is too short, or cannot be read.
     #[error("the key on standard input has {bytes} bytes")]
     #[diagnostic(help("give one line of at least {least} bytes, drawn at random"))]
