Prove the freshness of store reads by revision, and number views by it

Cause: calls to the store are the largest price at size. Relays made four linearizable reads a cycle, each instance six at its start, and every follower read each configuration itself. Views were numbered by each relay, so a follower that changed its relay fetched the whole view again; with slow relays this repeated itself, and overdue followers read the store.

Ruled out: watches in place of polls (an empty watch proves no more than the time it was sent, at the same cost).

Change: one linearizable call a cycle (for the holder, the renewal of its lease) proves a revision. The other documents are read from replicas, which costs a tenth, and accepted when they reflect a proved revision. Views are ordered by the store's revisions, so any relay, and any follower, continues where another one stopped; a digest catches what changes alone miss. Instances turn to the store one after the other when relays have nothing new, and probe a failing one less often the larger the fleet is.

Tests: store_reads.rs; view.rs now drives two relays and a follower that reads by itself against a store with history. It found that a part which appears and goes between two lists of a relay leaves no tombstone; hence the digest. The old checks of restarted relays, discarded tombstones and unchanged views stand in the same strictness on the new interface.

--- a/crates/gateway/src/cluster_snapshot.rs
+++ b/crates/gateway/src/cluster_snapshot.rs
@@ -16,6 +16,9 @@
 /// answered.
 pub const NEW_WORK_MARGIN: Duration = Duration::from_millis(200);
 
+/// How much older than the records the list of backend servers and the failure domains out of service may be.
+const SLOW_PARTS_ALLOWANCE: Duration = Duration::from_secs(2);
+
 /// Whether a service has a primary that may be used now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PrimaryView {
@@ -70,6 +73,14 @@
         self.configuration.is_some() && now < self.configuration_as_of + max_age
     }
 
+    /// Age at `now` of what expires first: the configuration and the records, or, because they are read less often, the
+    /// servers and failure domains less [`SLOW_PARTS_ALLOWANCE`].
+    pub fn age(&self, now: Time) -> Duration {
+        let urgent = now.saturating_since(self.configuration_as_of.min(self.records_as_of));
+        let slow = now.saturating_since(self.servers_as_of.min(self.domains_as_of));
+        urgent.max(slow.saturating_sub(SLOW_PARTS_ALLOWANCE))
+    }
+
     /// Whether work that already runs on primaries may go on at `now`.
     pub fn view_lease_holds(&self, now: Time) -> bool {
         now < self.records_as_of + VIEW_LEASE
--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -1,6 +1,7 @@
 //! Startup and tasks of the control thread, and its channels to the traffic thread.
 
 use super::state::ControlState;
+use super::store_calls::StoreCalls;
 use crate::view::{ViewCursor, ViewPage};
 use crate::{ClusterSnapshot, Connector, Discovery, PeerMessage, PrimaryRecord, Promoter, clock};
 use arc_swap::ArcSwap;
@@ -86,6 +87,8 @@
     pub outbound: Sender<OutboundMessage>,
     /// Never carries a value; closing it stops the control thread.
     pub stop: Receiver<()>,
+    /// Counters of the calls to the store.
+    pub store_calls: Arc<StoreCalls>,
 }
 
 /// Handle to a running control thread.
@@ -113,6 +116,9 @@
     pub(super) connector: C,
     pub(super) settings: ControlSettings,
     pub(super) channels: ControlChannels,
+    pub(super) store_calls: Arc<StoreCalls>,
+    /// Notified when this instance has renewed the failover lease.
+    pub(super) lease_renewed: (Sender<()>, Receiver<()>),
     pub(super) state: RefCell<ControlState>,
 }
 
@@ -145,7 +151,9 @@
                 promoter,
                 connector,
                 settings,
+                store_calls: Arc::clone(&channels.store_calls),
                 channels,
+                lease_renewed: async_channel::bounded(1),
                 state: RefCell::new(ControlState::new(incarnation)),
             });
             let executor = Rc::new(LocalExecutor::new());
@@ -158,10 +166,7 @@
     }
 
     async fn run(self: Rc<Self>, executor: Rc<LocalExecutor<'static>>) {
-        executor.spawn(Rc::clone(&self).poll_configuration()).detach();
-        executor.spawn(Rc::clone(&self).poll_records()).detach();
-        executor.spawn(Rc::clone(&self).poll_servers()).detach();
-        executor.spawn(Rc::clone(&self).poll_domains()).detach();
+        executor.spawn(Rc::clone(&self).poll_store()).detach();
         executor.spawn(Rc::clone(&self).handle_events()).detach();
         executor.spawn(Rc::clone(&self).follow_relays()).detach();
         executor
@@ -194,7 +199,7 @@
                     from,
                     request_id,
                     cursor,
-                } => self.serve_view(from, request_id, cursor),
+                } => self.serve_view(from, request_id, &cursor),
                 ControlEvent::ViewResponse { request_id, page } => self.on_view_response(request_id, page),
                 ControlEvent::Heartbeat { from, unreachable } => {
                     let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/control/failover_lease.rs
+++ b/crates/gateway/src/control/failover_lease.rs
@@ -45,6 +45,11 @@
     /// Applies a read of the store, or of a relay; `None` when the store holds no record.
     pub fn on_read(&mut self, record: Option<(Version, FailoverLeaseRecord)>, now: Time) {
         let known_version = self.record.as_ref().map(|(v, _)| *v);
+        let version = record.as_ref().map(|(v, _)| *v);
+        if version.is_some() && version < known_version {
+            // The read is older than a write of this process.
+            return;
+        }
         if known_version != record.as_ref().map(|(v, _)| *v) || self.observed_at.is_none() {
             self.observed_at = Some(now);
         }
--- a/crates/gateway/src/control/failover_lease_loop.rs
+++ b/crates/gateway/src/control/failover_lease_loop.rs
@@ -2,8 +2,8 @@
 
 use super::control_loop::ControlThread;
 use super::failover_lease::FailoverLeaseRecord;
-use super::poll::RECORDS_POLL_PERIOD;
 use super::records;
+use super::store_calls::StoreCallKind;
 use crate::view::rank_instances;
 use crate::{Connector, Discovery, Promoter, clock};
 use async_io::Timer;
@@ -15,6 +15,8 @@
 
 /// Period at which the holder renews the lease.
 const LEASE_RENEWAL_PERIOD: Duration = Duration::from_secs(1);
+/// Pause after a failed write of the lease.
+const RETRY_PERIOD: Duration = Duration::from_millis(900);
 /// Period of checking whether an acquisition or renewal is due.
 const LEASE_CHECK_PERIOD: Duration = Duration::from_millis(60);
 
@@ -56,6 +58,7 @@
                 continue;
             };
             let value = serde_json::json!(record);
+            self.store_calls.on_call(StoreCallKind::Lease);
             match self
                 .platform
                 .put(&records::failover_lease_key(), precondition, &value)
@@ -72,11 +75,13 @@
                         // Conditional writes need the current versions of the records, which a follower lacks.
                         self.read_records().await;
                     }
+                    // A full channel means that the polling loop has not seen the last renewal yet.
+                    let _notified = self.lease_renewed.0.try_send(());
                 }
                 Err(e) => {
                     log::info!(error:% = e; "could not acquire or renew the failover lease");
                     // The next read of the records shows who holds the lease.
-                    Timer::after(RECORDS_POLL_PERIOD).await;
+                    Timer::after(RETRY_PERIOD).await;
                 }
             }
         }
@@ -84,6 +89,7 @@
 
     fn on_lease_written(&self, version: Version, record: FailoverLeaseRecord, sent: Time) {
         let mut state = self.state.borrow_mut();
+        state.proofs.add(version.0, sent);
         state
             .failover_lease
             .on_written(version, record, sent, clock::now());
@@ -102,6 +108,7 @@
             (state.registry.newly_silent(now), state.registry.removable(now))
         };
         for (version, marked) in silent {
+            self.store_calls.on_call(StoreCallKind::Failover);
             let key = records::instance_key(marked.id.as_str());
             let value = serde_json::json!(marked);
             match self
@@ -118,6 +125,7 @@
                 .on_prune_attempted(&marked.id, now);
         }
         for (version, id) in removable {
+            self.store_calls.on_call(StoreCallKind::Failover);
             match self
                 .platform
                 .delete(&records::instance_key(id.as_str()), version)
@@ -146,6 +154,7 @@
             record.released = true;
             let value = serde_json::json!(record);
             let key = records::failover_lease_key();
+            self.store_calls.on_call(StoreCallKind::Lease);
             if let Err(e) = self
                 .platform
                 .put(&key, Precondition::Version(version), &value)
@@ -161,6 +170,7 @@
                 ..entry.clone()
             };
             let value = serde_json::json!(leaving);
+            self.store_calls.on_call(StoreCallKind::Registration);
             if let Err(e) = self
                 .platform
                 .put(&key, Precondition::Version(version), &value)
--- a/crates/gateway/src/control/instance_registry.rs
+++ b/crates/gateway/src/control/instance_registry.rs
@@ -35,8 +35,8 @@
 }
 
 impl InstanceRegistry {
-    /// Applies a list of entries from the store whose request was sent at `sent_at`.
-    pub fn on_read<I>(&mut self, entries: I, sent_at: Time, now: Time)
+    /// Applies the entries of a view that was current at `as_of`, with their object versions.
+    pub fn on_read<I>(&mut self, entries: I, as_of: Time, now: Time)
     where
         I: IntoIterator<Item = (Version, ListedInstance)>,
     {
@@ -54,26 +54,24 @@
                 *since = (*version, now);
             }
         }
-        self.read_at = self.read_at.max(sent_at);
-        self.on_relayed_entries(entries.into_iter().map(|(_, i)| i), now);
-    }
-
-    /// Applies entries without versions, as a relay passes them on. Known versions stay.
-    pub fn on_relayed_entries<I>(&mut self, entries: I, now: Time)
-    where
-        I: IntoIterator<Item = ListedInstance>,
-    {
-        self.entries = entries.into_iter().map(|i| (i.id.clone(), i)).collect();
+        self.on_read_at(as_of);
+        self.entries = entries.into_iter().map(|(_, i)| (i.id.clone(), i)).collect();
         let entries = &self.entries;
         self.silent_since
             .retain(|id, _| entries.get(id).is_some_and(|i| i.state == ListedState::Silent));
         self.last_heartbeat.retain(|id, _| entries.contains_key(id));
+        self.released_epochs.retain(|(id, _), _| entries.contains_key(id));
         for id in entries.keys() {
             self.last_heartbeat.entry(id.clone()).or_insert(now);
         }
     }
 
-    /// When the request of the last successful read of the store was sent.
+    /// Records that the entries contain every registration that the store had acknowledged at `as_of`.
+    pub fn on_read_at(&mut self, as_of: Time) {
+        self.read_at = self.read_at.max(as_of);
+    }
+
+    /// The time as of which the entries are current.
     pub const fn read_at(&self) -> Time {
         self.read_at
     }
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -7,6 +7,7 @@
 use super::failover::{choose_candidate, failover_reason, newest_term_and_point};
 use super::records;
 use super::server_commands::ServerCommand;
+use super::store_calls::StoreCallKind;
 use crate::{
     Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionOrder,
     PromotionResponse, Role, clock,
@@ -276,12 +277,15 @@
         let version = self.state.borrow().primary_versions.get(service).copied();
         let precondition = version.map_or(Precondition::Absent, Precondition::Version);
         let value = serde_json::json!(next);
+        self.store_calls.on_call(StoreCallKind::Failover);
+        let sent_at = clock::now();
         let version = self
             .platform
             .put(&records::primary_key(service), precondition, &value)
             .await?;
         {
             let mut state = self.state.borrow_mut();
+            state.proofs.add(version.0, sent_at);
             state.primary_versions.insert(Arc::clone(service), version);
             state.apply_primary_record(Arc::clone(service), next.clone())
         };
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -8,12 +8,15 @@
 mod instance_registry;
 mod leadership_task;
 mod poll;
-mod poll_timer;
+mod poll_health;
 mod records;
 mod release_wait;
+mod revision_proofs;
 mod server_commands;
 mod state;
+mod store_calls;
 mod store_circuit_breaker;
+mod store_reads;
 mod view_requests;
 
 pub use control_loop::{
@@ -22,4 +25,6 @@
 pub use failover::{CandidateStatus, FailoverReason, ReachabilityReports, choose_candidate, failover_reason};
 pub use failover_lease::{FailoverLease, FailoverLeaseRecord};
 pub use instance_registry::{InstanceRegistry, VIEW_LEASE_MARGIN};
+pub use revision_proofs::{RevisionProof, RevisionProofs};
+pub use store_calls::{StoreCallKind, StoreCalls};
 pub use store_circuit_breaker::StoreCircuitBreaker;
--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -1,29 +1,35 @@
-//! The loops that poll the store, and the registration of this instance.
+//! The loop that polls the store, the application of what it reads, and the registration of this instance.
 
 use super::control_loop::ControlThread;
-use super::poll_timer::{PollTimer, RETRY_BACKOFF};
+use super::poll_health::{PollHealth, RETRY_BACKOFF};
 use super::records::{self, PeerSecretRecord, Records};
-use crate::view::{ViewKey, ViewValue};
-use crate::{BackendServer, ClusterSnapshot, Configuration, Connector, Discovery, Promoter, clock};
+use super::state::ControlState;
+use super::store_calls::StoreCallKind;
+use crate::view::{ViewKey, ViewScope, ViewValue, domain_rank, fallback_age, max_store_backoff};
+use crate::{BackendServer, Configuration, Connector, Discovery, Entries, Promoter, clock};
 use async_io::Timer;
+use futures_lite::FutureExt;
 use rand::Rng;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{Time, Version};
-use wasabiyard_platform::{Object, Platform, PlatformError, Precondition};
+use wasabiyard_platform::{Platform, PlatformError, Precondition};
 
-/// Period of checking whether the circuit breaker allows a call again.
-const BREAKER_CHECK_PERIOD: Duration = Duration::from_millis(60);
-/// Period of reading the configuration. A withdrawn API key must stop working within seconds.
-pub(super) const CONFIGURATION_POLL_PERIOD: Duration = Duration::from_millis(900);
-/// Period of reading the records under [`records::KEY_PREFIX`]. Must be well below the view lease, which these reads
+/// Period of checking whether a read is due and whether the circuit breaker allows it.
+const DUE_CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Period of reading the store. It bounds the age of the keys and must be well below the view lease, which these reads
 /// renew.
-pub(super) const RECORDS_POLL_PERIOD: Duration = Duration::from_millis(900);
-/// Period of reading the list of backend servers.
-const SERVERS_POLL_PERIOD: Duration = Duration::from_millis(1_500);
-/// Period of reading which failure domains are out of service.
-const DOMAINS_POLL_PERIOD: Duration = Duration::from_millis(2_200);
+const POLL_PERIOD: Duration = Duration::from_millis(900);
+/// The same for the holder of the failover lease, which also reads after each renewal of the lease.
+const HOLDER_POLL_PERIOD: Duration = Duration::from_millis(1_300);
+/// Pause between the registration of this instance and the read that has to contain its entry.
+const REGISTRATION_CHECK_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between a renewal of the failover lease and the reads that it proves, which covers the usual lag of the store's
+/// replicas.
+const RENEWAL_SETTLING_TIME: Duration = Duration::from_millis(150);
+/// Longest random pause before an instance creates the peer secret. All instances of a new fleet start at once.
+const SECRET_STAGGER: Duration = Duration::from_millis(400);
 
 impl<P, D, M, C> ControlThread<P, D, M, C>
 where
@@ -32,215 +38,183 @@
     M: Promoter + 'static,
     C: Connector + 'static,
 {
-    pub(super) async fn poll_configuration(self: Rc<Self>) {
-        let mut timer = PollTimer::new(CONFIGURATION_POLL_PERIOD, "configuration");
+    /// Reads the store periodically while this instance is a relay, and when the relays do not keep its view recent.
+    pub(super) async fn poll_store(self: Rc<Self>) {
+        let mut health = PollHealth::new("store");
         loop {
-            let as_of = self.state.borrow().snapshot.configuration_as_of;
-            if !self.is_fresh_from_relay(as_of, CONFIGURATION_POLL_PERIOD) {
-                let call = self.discovery.configuration();
-                if let Some((configuration, sent_at)) = self.call_store(&mut timer, call).await {
-                    self.apply_configuration(configuration, sent_at);
-                    self.publish_snapshot();
+            let started = clock::now();
+            if !self.may_read_store(started) {
+                Timer::after(DUE_CHECK_PERIOD).await;
+                continue;
+            }
+            let result = self.read_store().await;
+            self.on_call_result(&result);
+            match health.observe(result) {
+                Some(true) => self.wait_for_next_poll(started).await,
+                // Records without the entry of this instance have made it register; only a read that contains the entry
+                // renews the view lease.
+                Some(false) => {
+                    Timer::after(REGISTRATION_CHECK_PAUSE).await;
                 }
+                // The circuit breaker paces the next attempt.
+                None => {}
             }
-            timer.wait_for_next().await;
         }
     }
 
-    /// Makes a call to the store as soon as the circuit breaker allows it. Returns the result with the time at which
-    /// the call was sent, which is how recent the data is known to be; `None` when the call failed.
-    async fn call_store<T, F>(&self, timer: &mut PollTimer, call: F) -> Option<(T, Time)>
-    where
-        F: Future<Output = Result<T, PlatformError>>,
-    {
-        while !self.state.borrow_mut().store_breaker.allows_call(clock::now()) {
-            Timer::after(BREAKER_CHECK_PERIOD).await;
+    /// Whether a read of the store is due at `now` and the circuit breaker allows it.
+    fn may_read_store(&self, now: Time) -> bool {
+        if !self.store_read_is_due(now) {
+            return false;
         }
-        let sent_at = clock::now();
-        let result = call.await;
-        self.on_call_result(&result);
-        timer.observe(result).map(|value| (value, sent_at))
+        let max_backoff = self.max_breaker_backoff();
+        let breaker = &mut self.state.borrow_mut().store_breaker;
+        breaker.set_max_backoff(max_backoff);
+        breaker.allows_call(now)
     }
 
-    fn on_call_result<T>(&self, result: &Result<T, PlatformError>) {
-        let breaker = &mut self.state.borrow_mut().store_breaker;
-        match result {
-            Ok(_) => breaker.on_success(),
-            Err(_) => breaker.on_failure(clock::now()),
-        }
+    /// Waits for the rest of the poll period, or until a renewal of the failover lease proves a revision, which spares
+    /// the holder a linearizable read.
+    async fn wait_for_next_poll(&self, started: Time) {
+        let elapsed = clock::now().saturating_since(started);
+        let period = self.poll_period().mul_f64(1.0 + 0.1 * rand::random::<f64>());
+        let period_ends = async {
+            Timer::after(period.saturating_sub(elapsed)).await;
+        };
+        let renewed = async {
+            let _renewed = self.lease_renewed.1.recv().await;
+            Timer::after(RENEWAL_SETTLING_TIME).await;
+        };
+        period_ends.or(renewed).await;
     }
 
-    /// Reads the configuration once, outside the polling loop, because a relay has a newer one. Does nothing while the
-    /// circuit breaker is open.
-    pub(super) async fn read_configuration(&self) {
-        let sent_at = clock::now();
-        if !self.state.borrow_mut().store_breaker.allows_call(sent_at) {
-            return;
-        }
-        let result = self.discovery.configuration().await;
-        self.on_call_result(&result);
-        match result {
-            Ok(configuration) => self.apply_configuration(configuration, sent_at),
-            Err(e) => log::info!(error:% = e; "could not read the newer configuration"),
+    fn poll_period(&self) -> Duration {
+        let state = self.state.borrow();
+        let holder = state.snapshot.failover_lease_holder.as_deref();
+        if holder == Some(self.settings.instance.id.as_str()) {
+            HOLDER_POLL_PERIOD
+        } else {
+            POLL_PERIOD
         }
     }
 
-    fn apply_configuration(&self, configuration: Option<Arc<Configuration>>, sent_at: Time) {
-        let mut state = self.state.borrow_mut();
-        let snapshot = &mut state.snapshot;
-        let known = snapshot.configuration.as_ref().map(|c| c.version);
-        if let Some(new) = configuration.filter(|new| known.is_none_or(|v| v < new.version)) {
-            log::info!(version:% = new.version, routes = new.routes.len(); "configuration in force");
-            snapshot.configuration = Some(new);
+    /// Whether this instance has to read the store at `now`: always as a relay, and otherwise when its view is so old
+    /// that the relays do not refresh it, or lacks its entry.
+    fn store_read_is_due(&self, now: Time) -> bool {
+        if self.is_relay() {
+            return true;
         }
-        snapshot.configuration_as_of = sent_at;
+        let state = self.state.borrow();
+        let entry_is_missing = !self.is_registered(&state)
+            && state.view.revision(ViewScope::Records) >= state.registration_revision;
+        entry_is_missing || state.snapshot.age(now) > self.fallback_age(&state)
     }
 
-    fn apply_servers(&self, servers: Vec<BackendServer>, sent_at: Time) {
-        let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        log_server_changes(&state.snapshot, &servers);
-        let entries = servers
-            .iter()
-            .map(|s| (ViewKey::Server(Arc::clone(&s.id)), ViewValue::Server(s.clone())));
-        let entries = entries.collect();
-        state
-            .relay_view
-            .replace(|k| matches!(k, ViewKey::Server(_)), entries);
-        state.snapshot.servers = servers
-            .into_iter()
-            .map(|s| (Arc::clone(&s.id), Arc::new(s)))
-            .collect();
-        state.snapshot.servers_as_of = sent_at;
-        state.reachability.on_server_list(&state.snapshot, clock::now());
+    fn fallback_age(&self, state: &ControlState) -> Duration {
+        let own = &self.settings.instance;
+        fallback_age(domain_rank(&own.id, &own.domain, &state.snapshot.members))
     }
 
-    pub(super) async fn poll_servers(self: Rc<Self>) {
-        let mut timer = PollTimer::new(SERVERS_POLL_PERIOD, "servers");
-        loop {
-            let as_of = self.state.borrow().snapshot.servers_as_of;
-            if !self.is_fresh_from_relay(as_of, SERVERS_POLL_PERIOD) {
-                let call = self.discovery.backend_servers();
-                if let Some((servers, sent_at)) = self.call_store(&mut timer, call).await {
-                    self.apply_servers(servers, sent_at);
-                    self.publish_snapshot();
-                }
-            }
-            timer.wait_for_next().await;
-        }
+    /// Longest pause between two calls to a store that fails.
+    fn max_breaker_backoff(&self) -> Duration {
+        let own = &self.settings.instance;
+        let members = &self.state.borrow().snapshot.members;
+        max_store_backoff(domain_rank(&own.id, &own.domain, members), members.len())
     }
 
-    pub(super) async fn poll_domains(self: Rc<Self>) {
-        let mut timer = PollTimer::new(DOMAINS_POLL_PERIOD, "failure domains");
-        loop {
-            let as_of = self.state.borrow().snapshot.domains_as_of;
-            if !self.is_fresh_from_relay(as_of, DOMAINS_POLL_PERIOD) {
-                let call = self.discovery.domains_out();
-                if let Some((domains, sent_at)) = self.call_store(&mut timer, call).await {
-                    self.apply_domains(domains, sent_at);
-                }
-            }
-            timer.wait_for_next().await;
+    pub(super) fn on_call_result<T>(&self, result: &Result<T, PlatformError>) {
+        let breaker = &mut self.state.borrow_mut().store_breaker;
+        match result {
+            Ok(_) => breaker.on_success(),
+            Err(_) => breaker.on_failure(clock::now()),
         }
     }
 
-    fn apply_domains(&self, domains: Vec<Arc<str>>, sent_at: Time) {
+    pub(super) fn apply_configuration(&self, configuration: Option<Arc<Configuration>>, as_of: Time) {
         let mut state = self.state.borrow_mut();
-        state.snapshot.domains_as_of = sent_at;
-        if state.snapshot.domains_out == domains {
-            return;
+        let snapshot = &mut state.snapshot;
+        let known = snapshot.configuration.as_ref().map(|c| c.version);
+        if let Some(new) = configuration.filter(|new| known.is_none_or(|v| v < new.version)) {
+            log::info!(version:% = new.version, routes = new.routes.len(); "configuration in force");
+            snapshot.configuration = Some(new);
         }
-        log::info!(domains:? = domains; "failure domains out of service");
-        let entries = domains
-            .iter()
-            .map(|d| (ViewKey::DomainOut(Arc::clone(d)), ViewValue::DomainOut));
-        let entries = entries.collect();
-        state
-            .relay_view
-            .replace(|k| matches!(k, ViewKey::DomainOut(_)), entries);
-        state.snapshot.domains_out = domains;
-        drop(state);
-        self.publish_snapshot();
+        snapshot.configuration_as_of = snapshot.configuration_as_of.max(as_of);
     }
 
-    pub(super) async fn poll_records(self: Rc<Self>) {
-        let mut timer = PollTimer::new(RECORDS_POLL_PERIOD, "records");
-        loop {
-            let as_of = self.state.borrow().snapshot.records_as_of;
-            if !self.is_fresh_from_relay(as_of, RECORDS_POLL_PERIOD) {
-                let call = self.platform.list(records::KEY_PREFIX);
-                if let Some((changes, sent_at)) = self.call_store(&mut timer, call).await
-                    && !self.process_records(&changes.objects, sent_at).await
-                {
-                    // This instance has just tried to register, and only a list that contains its entry renews the
-                    // view lease: read again without waiting.
-                    continue;
-                }
-            }
-            timer.wait_for_next().await;
+    pub(super) fn apply_servers(&self, revision: u64, servers: Entries<BackendServer>, as_of: Time) {
+        let parts = servers.into_iter().map(|(version, s)| {
+            (
+                version.0,
+                ViewKey::Server(Arc::clone(&s.id)),
+                ViewValue::Server(s),
+            )
+        });
+        let parts = parts.collect();
+        let mut state = self.state.borrow_mut();
+        if state.view.replace(ViewScope::Servers, revision, parts) {
+            state.on_view_changed(ViewScope::Servers, as_of, clock::now());
         }
+        state.snapshot.servers_as_of = state.snapshot.servers_as_of.max(as_of);
     }
 
-    /// Reads the records once, outside the polling loop and regardless of the circuit breaker.
-    pub(super) async fn read_records(&self) {
-        let sent_at = clock::now();
-        match self.platform.list(records::KEY_PREFIX).await {
-            Ok(changes) => {
-                self.process_records(&changes.objects, sent_at).await;
-            }
-            Err(e) => log::info!(error:% = e; "could not read the records"),
+    pub(super) fn apply_domains(&self, revision: u64, domains: Entries<Arc<str>>, as_of: Time) {
+        let parts = domains
+            .into_iter()
+            .map(|(version, name)| (version.0, ViewKey::DomainOut(name), ViewValue::DomainOut));
+        let parts = parts.collect();
+        let mut state = self.state.borrow_mut();
+        if state.view.replace(ViewScope::Domains, revision, parts) {
+            state.on_view_changed(ViewScope::Domains, as_of, clock::now());
         }
+        state.snapshot.domains_as_of = state.snapshot.domains_as_of.max(as_of);
     }
 
-    /// Applies a list of the records, then creates the peer secret and registers this instance if either is missing.
-    /// Returns whether the list contained the current entry of this instance.
-    async fn process_records(&self, objects: &[Object], sent_at: Time) -> bool {
-        let records = Records::from_objects(objects);
-        let registered = self.is_registered(&records);
+    /// Applies records that reflect `revision`, then creates the peer secret and registers this instance if either is
+    /// missing. Returns whether the records contained the current entry of this instance.
+    pub(super) async fn process_records(&self, revision: u64, records: &Records, as_of: Time) -> bool {
         let has_secret = records.secret_record.is_some();
-        self.apply_records(records, sent_at, registered);
+        let registered = self.apply_records(revision, records, as_of);
         if !has_secret {
             self.create_peer_secret().await;
         }
-        if !registered && !self.state.borrow().stopping {
+        if !registered && self.registration_is_due(revision) {
             self.register_instance().await;
         }
-        registered
+        registered && has_secret
+    }
+
+    /// Whether records that reflect `revision` and lack the entry of this instance call for its registration.
+    fn registration_is_due(&self, revision: u64) -> bool {
+        let state = self.state.borrow();
+        !state.stopping && revision >= state.registration_revision
     }
 
     /// Applies the records. They renew the view lease only if they contain the entry of this instance, because the
     /// holder of the failover lease waits only for registered instances when it replaces a primary.
-    fn apply_records(&self, records: Records, sent_at: Time, registered: bool) {
-        let now = clock::now();
+    fn apply_records(&self, revision: u64, records: &Records, as_of: Time) -> bool {
         let mut state = self.state.borrow_mut();
-        let entries = record_entries(&records);
-        state.relay_view.replace(is_record_key, entries);
-        state.failover_lease.on_read(records.failover_lease, now);
-        for (service, (version, record)) in records.primaries {
-            state.primary_versions.insert(Arc::clone(&service), version);
-            state.apply_primary_record(service, record);
+        if revision >= state.view.revision(ViewScope::Records) {
+            state
+                .view
+                .replace(ViewScope::Records, revision, record_parts(records));
+            // Also when nothing has changed: the registry waits for versions and for reads after a moment.
+            state.on_view_changed(ViewScope::Records, as_of, clock::now());
         }
-        state
-            .registry
-            .on_read(records.instances.into_values(), sent_at, now);
-        state.refresh_snapshot();
-        let snapshot = &mut state.snapshot;
-        if let Some(secret) = records.secret_record {
-            snapshot.peer_secret = Some(Arc::from(secret.key.as_bytes()));
+        if let Some(secret) = &records.secret_record {
+            state.snapshot.peer_secret = Some(Arc::from(secret.key.as_bytes()));
         }
+        let registered = self.is_registered(&state);
         if registered {
-            snapshot.records_as_of = sent_at;
+            state.snapshot.records_as_of = state.snapshot.records_as_of.max(as_of);
         }
         drop(state);
         self.publish_snapshot();
+        registered
     }
 
-    fn is_registered(&self, records: &Records) -> bool {
-        let own_entry = &self.settings.instance;
-        records
-            .instances
-            .get(own_entry.id.as_str())
-            .is_some_and(|(_, found)| found == own_entry)
+    /// Whether the view contains the live entry of this process.
+    pub(super) fn is_registered(&self, state: &ControlState) -> bool {
+        state.snapshot.members.contains(&self.settings.instance)
     }
 
     async fn register_instance(&self) {
@@ -249,8 +223,15 @@
         let version = self.state.borrow().registry.version(&own_entry.id);
         let precondition = version.map_or(Precondition::Absent, Precondition::Version);
         let value = serde_json::json!(own_entry);
+        self.store_calls.on_call(StoreCallKind::Registration);
+        let sent_at = clock::now();
         match self.platform.put(&key, precondition, &value).await {
-            Ok(version) => log::info!(version:% = version; "registered"),
+            Ok(version) => {
+                log::info!(version:% = version; "registered");
+                let mut state = self.state.borrow_mut();
+                state.registration_revision = version.0;
+                state.proofs.add(version.0, sent_at);
+            }
             Err(PlatformError::Conflict { found, .. }) if found != Version(0) => {
                 // An earlier process with this id left its entry; the next attempt replaces that version.
                 self.state.borrow_mut().registry.on_conflict(&own_entry.id, found);
@@ -262,12 +243,23 @@
         }
     }
 
-    /// Creates the key that authenticates messages between instances. The first instance that writes it wins; the
-    /// others read that key with their next list.
+    /// Creates the key that authenticates messages between instances, unless another instance does so in a random
+    /// pause. The first one that writes it wins; the others read that key with their next list.
     async fn create_peer_secret(&self) {
+        Timer::after(SECRET_STAGGER.mul_f64(rand::random::<f64>())).await;
+        self.store_calls.on_call(StoreCallKind::StaleRead);
+        match self.platform.list_stale(records::KEY_PREFIX).await {
+            Ok(listed) if Records::from_objects(&listed.objects).secret_record.is_some() => return,
+            Ok(_) => {}
+            Err(e) => {
+                log::info!(error:% = e; "could not look for the peer secret");
+                return;
+            }
+        }
         let bytes: [u8; 16] = rand::rng().random();
         let key = format!("{:032x}", u128::from_le_bytes(bytes));
         let value = serde_json::json!(PeerSecretRecord { key: key.into() });
+        self.store_calls.on_call(StoreCallKind::Registration);
         if let Err(e) = self
             .platform
             .put(&records::peer_secret_key(), Precondition::Absent, &value)
@@ -278,46 +270,27 @@
     }
 }
 
-const fn is_record_key(key: &ViewKey) -> bool {
-    matches!(
-        key,
-        ViewKey::Member(_) | ViewKey::Primary(_) | ViewKey::FailoverLease
-    )
-}
-
-fn record_entries(records: &Records) -> Vec<(ViewKey, ViewValue)> {
-    let members = records
-        .instances
-        .iter()
-        .map(|(name, (_, m))| (ViewKey::Member(Arc::clone(name)), ViewValue::Member(m.clone())));
-    let primaries = records.primaries.iter().map(|(service, (_, r))| {
+fn record_parts(records: &Records) -> Vec<(u64, ViewKey, ViewValue)> {
+    let members = records.instances.iter().map(|(name, (version, m))| {
+        (
+            version.0,
+            ViewKey::Member(Arc::clone(name)),
+            ViewValue::Member(m.clone()),
+        )
+    });
+    let primaries = records.primaries.iter().map(|(service, (version, r))| {
         (
+            version.0,
             ViewKey::Primary(Arc::clone(service)),
             ViewValue::Primary(r.clone()),
         )
     });
-    let lease = records.failover_lease.iter().map(|(version, record)| {
+    let lease = records.failover_lease.iter().map(|(version, r)| {
         (
+            version.0,
             ViewKey::FailoverLease,
-            ViewValue::FailoverLease(*version, record.clone()),
+            ViewValue::FailoverLease(r.clone()),
         )
     });
     members.chain(primaries).chain(lease).collect()
 }
-
-fn log_server_changes(snapshot: &ClusterSnapshot, servers: &[BackendServer]) {
-    for server in servers {
-        let known = snapshot.servers.get(&server.id);
-        if known.is_none_or(|k| k.draining != server.draining || k.role != server.role) {
-            log::info!(
-                server:% = server.id, service:% = server.service, role:? = server.role, draining = server.draining;
-                "backend server added or changed"
-            );
-        }
-    }
-    for id in snapshot.servers.keys() {
-        if !servers.iter().any(|s| s.id == *id) {
-            log::info!(server:% = id; "backend server removed from the list");
-        }
-    }
-}
--- a/crates/gateway/src/control/release_wait.rs
+++ b/crates/gateway/src/control/release_wait.rs
@@ -3,7 +3,7 @@
 use super::control_loop::ControlThread;
 use super::instance_registry::VIEW_LEASE_MARGIN;
 use super::leadership_task::STEP_POLL_PERIOD;
-use super::poll_timer::RETRY_BACKOFF;
+use super::poll_health::RETRY_BACKOFF;
 use crate::cluster_snapshot::VIEW_LEASE;
 use crate::{Connector, Discovery, PrimaryRecord, Promoter, clock};
 use async_io::Timer;
--- a/crates/gateway/src/control/view_requests.rs
+++ b/crates/gateway/src/control/view_requests.rs
@@ -1,25 +1,21 @@
 //! Requesting the view from relays as a follower, and serving it to followers as a relay.
 
 use super::control_loop::{ControlThread, OutboundMessage};
-use super::poll::{CONFIGURATION_POLL_PERIOD, RECORDS_POLL_PERIOD};
-use crate::view::{
-    ViewAges, ViewCursor, ViewKey, ViewPage, ViewProgress, ViewValue, is_relay, select_relays,
-};
+use crate::view::{ViewAges, ViewCursor, ViewPage, ViewProgress, ViewScope, instances_to_query, is_relay};
 use crate::{Connector, Discovery, PeerMessage, Promoter, clock};
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{InstanceId, Time, Version};
-use wasabiyard_platform::{ListedInstance, Platform};
+use wasabiyard_platform::Platform;
 
 /// Period of requesting changes from a relay; jittered by 10 % either way.
 const VIEW_REFRESH_PERIOD: Duration = Duration::from_millis(600);
 /// Longest wait for one page from a relay.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(120);
+const PAGE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Age of a relay's data from which the next relay is queried as well.
 const MAX_RELAY_DATA_AGE: Duration = Duration::from_millis(1_500);
 /// Most pages that one refresh requests from a relay.
@@ -72,32 +68,28 @@
         state.snapshot.peer_secret.is_some() && state.snapshot.records_as_of > Time::ZERO
     }
 
-    /// The relays in query order. The order is rotated by the incarnation of this instance, which spreads the load.
-    fn relays_to_query(&self) -> Vec<ListedInstance> {
+    fn relays_to_query(&self) -> Vec<InstanceId> {
+        let own = &self.settings.instance;
         let state = self.state.borrow();
         let snapshot = &state.snapshot;
-        let mut relays: Vec<_> = select_relays(&snapshot.members, snapshot.failover_lease_holder.as_deref())
-            .into_iter()
-            .cloned()
-            .collect();
-        let offset = self.settings.instance.incarnation.0 as usize;
-        let len = relays.len().max(1);
-        relays.rotate_left(offset % len);
-        relays
+        let holder = snapshot.failover_lease_holder.as_deref();
+        let age = snapshot.age(clock::now());
+        let instances = instances_to_query(own, &snapshot.members, holder, age, own.incarnation.0);
+        instances.into_iter().map(|m| m.id.clone()).collect()
     }
 
     /// Requests pages from one relay until the view is complete, and applies it. Returns whether the relay's data was
     /// recent enough that no other relay needs to be queried.
-    async fn refresh_from(&self, relay: &ListedInstance) -> bool {
+    async fn refresh_from(&self, relay: &InstanceId) -> bool {
         for _ in 0..MAX_PAGES_PER_REFRESH {
             let sent_at = clock::now();
-            let Some(page) = self.request_page(&relay.id).await else {
+            let Some(page) = self.request_page(relay).await else {
                 return false;
             };
             let (ages, configuration) = (page.ages, page.configuration);
-            let progress = self.state.borrow_mut().follower.apply(page);
+            let progress = self.state.borrow_mut().view.apply(page);
             if let ViewProgress::Complete { changed } = progress {
-                self.apply_view(changed, ages, sent_at);
+                self.apply_view(&changed, ages, sent_at);
                 self.on_configuration_version(configuration, sent_at - ages.configuration)
                     .await;
                 self.publish_snapshot();
@@ -111,7 +103,7 @@
         let (tx, rx) = async_channel::bounded(1);
         let (request_id, cursor) = {
             let mut state = self.state.borrow_mut();
-            let cursor = state.follower.cursor_for(relay);
+            let cursor = state.view.cursor_for(relay);
             let request_id = state.view_requests.next_id;
             state.view_requests.next_id += 1;
             state.view_requests.pending.insert(request_id, tx);
@@ -141,7 +133,7 @@
 
     /// Responds to a follower with a page of the view. Sends nothing until this instance has read the configuration,
     /// the records and the server list.
-    pub(super) fn serve_view(&self, from: InstanceId, request_id: u64, cursor: ViewCursor) {
+    pub(super) fn serve_view(&self, from: InstanceId, request_id: u64, cursor: &ViewCursor) {
         let now = clock::now();
         let page = {
             let state = self.state.borrow();
@@ -158,7 +150,7 @@
                 servers: now.saturating_since(snapshot.servers_as_of),
                 domains: now.saturating_since(snapshot.domains_as_of),
             };
-            state.relay_view.page(cursor, ages, configuration.version)
+            state.view.page(cursor, ages, configuration.version)
         };
         self.send_to_peers(OutboundMessage::Unicast(
             from,
@@ -166,80 +158,37 @@
         ));
     }
 
-    /// Applies the parts of a complete view that are newer than what this instance has. `ages` count from `sent_at`,
-    /// when the request was sent, so that data never appears fresher than it is. The view lease is renewed only if the
-    /// view contains the live entry of this instance.
-    fn apply_view(&self, changed: bool, ages: ViewAges, sent_at: Time) {
+    /// Applies the changed scopes of the view. `ages` count from `sent_at`, when the request was sent, so that data never
+    /// appears fresher than it is. The view lease is renewed only if the view contains the live entry of this instance.
+    fn apply_view(&self, changed: &[ViewScope], ages: ViewAges, sent_at: Time) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
-        let state = &mut *state;
-        if changed {
-            let mut members = Vec::new();
-            let mut primaries = Vec::new();
-            let mut servers = HashMap::new();
-            let mut domains = Vec::new();
-            let mut lease = None;
-            for (key, value) in state.follower.parts() {
-                match (key, value) {
-                    (ViewKey::Member(_), ViewValue::Member(m)) => members.push(m.clone()),
-                    (ViewKey::Primary(service), ViewValue::Primary(r)) => {
-                        primaries.push((Arc::clone(service), r.clone()));
-                    }
-                    (ViewKey::FailoverLease, ViewValue::FailoverLease(version, record)) => {
-                        lease = Some((*version, record.clone()));
-                    }
-                    (ViewKey::Server(id), ViewValue::Server(s)) => {
-                        servers.insert(Arc::clone(id), Arc::new(s.clone()));
-                    }
-                    (ViewKey::DomainOut(name), ViewValue::DomainOut) => domains.push(Arc::clone(name)),
-                    _ => log::warn!(key:? = key; "view entry has a value of another kind than its key"),
-                }
-            }
-            if sent_at - ages.records > state.snapshot.records_as_of {
-                for (service, record) in primaries {
-                    state.apply_primary_record(service, record);
-                }
-                state.failover_lease.on_read(lease, now);
-                state.registry.on_relayed_entries(members, now);
-                state.refresh_snapshot();
-            }
-            if sent_at - ages.servers > state.snapshot.servers_as_of {
-                state.snapshot.servers = servers;
-                state.reachability.on_server_list(&state.snapshot, now);
-            }
-            if sent_at - ages.domains > state.snapshot.domains_as_of {
-                state.snapshot.domains_out = domains;
-            }
+        for scope in changed {
+            state.on_view_changed(*scope, sent_at - ages.records, now);
         }
-        let own_entry = &self.settings.instance;
+        state.registry.on_read_at(sent_at - ages.records);
+        let registered = self.is_registered(&state);
         let snapshot = &mut state.snapshot;
-        if snapshot.members.contains(own_entry) {
+        if registered {
             snapshot.records_as_of = snapshot.records_as_of.max(sent_at - ages.records);
         }
         snapshot.servers_as_of = snapshot.servers_as_of.max(sent_at - ages.servers);
         snapshot.domains_as_of = snapshot.domains_as_of.max(sent_at - ages.domains);
     }
 
-    /// Handles the configuration version that a relay read at `as_of`. Pages carry only the version, so a
-    /// configuration newer than the known one is read from the store.
+    /// Handles the configuration version that a relay had as of a time. Pages carry only the version, so a configuration
+    /// newer than the known one is read from the store.
     async fn on_configuration_version(&self, version: Version, as_of: Time) {
         let known = {
             let state = self.state.borrow();
             state.snapshot.configuration.as_ref().map(|c| c.version)
         };
         if known.is_none_or(|known| known < version) {
-            self.read_configuration().await;
+            self.read_newer_configuration(version, as_of).await;
         } else if known == Some(version) {
             let mut state = self.state.borrow_mut();
             let snapshot = &mut state.snapshot;
             snapshot.configuration_as_of = snapshot.configuration_as_of.max(as_of);
         }
     }
-
-    /// Whether relays keep a part of the view fresh, so that this instance need not poll the store for it. `as_of` is
-    /// the time of the part's last read and `period` its poll period; a part that is overdue is polled directly.
-    pub(super) fn is_fresh_from_relay(&self, as_of: Time, period: Duration) -> bool {
-        let grace = CONFIGURATION_POLL_PERIOD.max(RECORDS_POLL_PERIOD);
-        !self.is_relay() && clock::now() < as_of + period + grace
-    }
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -2,19 +2,49 @@
 
 use crate::{BackendServer, Configuration};
 use std::sync::Arc;
+use wasabiyard_model::Version;
 use wasabiyard_platform::PlatformError;
 
-/// Reads the documents that operators and backend servers publish. Each call returns a state that was current at or
-/// after the time of the call.
+/// Which state of the store a read may return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadConsistency {
+    /// A state that was current at or after the time of the call.
+    Linearizable,
+    /// Any state, with its revision. Such a read costs the store a fraction of a linearizable one.
+    Stale,
+}
+
+/// Result of a read, with the revision of the store that it reflects.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AtRevision<T> {
+    /// Revision of the whole store.
+    pub revision: u64,
+    /// What was read.
+    pub value: T,
+}
+
+/// Entries of a list with the versions of their objects.
+pub type Entries<T> = Vec<(Version, T)>;
+
+/// Reads the documents that operators and backend servers publish, with the versions of their objects.
 pub trait Discovery {
-    /// The newest configuration; `None` when none has been published yet.
-    fn configuration(&self) -> impl Future<Output = Result<Option<Arc<Configuration>>, PlatformError>>;
+    /// The configuration; `None` when none has been published yet.
+    fn configuration(
+        &self,
+        consistency: ReadConsistency,
+    ) -> impl Future<Output = Result<AtRevision<Option<Arc<Configuration>>>, PlatformError>>;
 
     /// All listed backend servers. Documents that cannot be decoded are left out.
-    fn backend_servers(&self) -> impl Future<Output = Result<Vec<BackendServer>, PlatformError>>;
+    fn backend_servers(
+        &self,
+        consistency: ReadConsistency,
+    ) -> impl Future<Output = Result<AtRevision<Entries<BackendServer>>, PlatformError>>;
 
     /// Failure domains that operators have taken out of service.
-    fn domains_out(&self) -> impl Future<Output = Result<Vec<Arc<str>>, PlatformError>>;
+    fn domains_out(
+        &self,
+        consistency: ReadConsistency,
+    ) -> impl Future<Output = Result<AtRevision<Entries<Arc<str>>>, PlatformError>>;
 }
 
 /// Order to promote a backend server, with the fencing token that proves that the sender holds the failover lease.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -161,6 +161,7 @@
             events: events_rx,
             outbound: outbound_tx,
             stop,
+            store_calls: Arc::clone(metrics.store_calls()),
         };
         let control_settings = ControlSettings {
             instance: settings.instance.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,7 +40,9 @@
     Target,
 };
 pub use connection_state::{Adjustment, ConnectionState, SessionValues};
-pub use discovery::{Discovery, Promoter, PromotionOrder, PromotionResponse};
+pub use discovery::{
+    AtRevision, Discovery, Entries, Promoter, PromotionOrder, PromotionResponse, ReadConsistency,
+};
 pub use gateway::{Gateway, GatewaySettings, OpenError, Readiness, RuntimeSettings};
 pub use peer::PeerMessage;
 pub use primary_record::{Leadership, PrimaryRecord};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms of an instance, exported in the Prometheus text format.
 
 use crate::CallerError;
+use crate::control::{StoreCallKind, StoreCalls};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
@@ -76,6 +77,7 @@
     connects: Counter<u64>,
     retries: Counter<u64>,
     sessions: Arc<AtomicUsize>,
+    store_calls: Arc<StoreCalls>,
 }
 
 impl fmt::Debug for Metrics {
@@ -114,6 +116,17 @@
             .with_description("Callers connected")
             .with_callback(move |observer| observer.observe(count.load(Ordering::Relaxed) as u64, &[]))
             .build();
+        let store_calls = Arc::new(StoreCalls::default());
+        let counted = Arc::clone(&store_calls);
+        meter
+            .u64_observable_counter("wasabiyard_store_calls")
+            .with_description("Calls to the store, by kind")
+            .with_callback(move |observer| {
+                for kind in StoreCallKind::ALL {
+                    observer.observe(counted.count(kind), &[KeyValue::new("kind", kind.name())]);
+                }
+            })
+            .build();
         Ok(Rc::new(Self {
             statements: counter(
                 "wasabiyard_statements",
@@ -140,6 +153,7 @@
                 "Statements tried again by the instance, by service and cause",
             ),
             sessions,
+            store_calls,
             registry,
             _provider: provider,
         }))
@@ -197,6 +211,11 @@
         self.sessions.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Counters of the calls to the store, for the control thread.
+    pub const fn store_calls(&self) -> &Arc<StoreCalls> {
+        &self.store_calls
+    }
+
     /// Number of connected callers.
     pub fn sessions(&self) -> usize {
         self.sessions.load(Ordering::Relaxed)
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -81,6 +81,12 @@
     /// Reads all objects whose key starts with `prefix`.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Changes, PlatformError>> + Send;
 
+    /// Reads all objects whose key starts with `prefix` from a state of the store that may be older than the call; the
+    /// revision of the result tells which. A platform that offers no such read answers as [`Self::list`] does.
+    fn list_stale(&self, prefix: &str) -> impl Future<Output = Result<Changes, PlatformError>> + Send {
+        self.list(prefix)
+    }
+
     /// Waits up to `timeout` for changes under `prefix` after revision `since`. The result has no objects when there were
     /// none.
     fn watch(
