Bound the latency of a server, and pace servers that refuse or fail

After some hundred refusals in a row the duration overflows, the process panics, and all its callers lose their connections. Ruled out: reload, memory, descriptors and the closing of idle sessions; the traces end in the fifth attempt at a server that had refused the four before.

Cause of the refusals: each statement repeated on its own after 20, 40, 80 ms, with a new connection that costs the server 12 ms of a slot. And a server that accepts connections but fails each request looked healthy after each connect.

Change: what one statement learns of a server holds for all of the instance (server_health.rs): fewer requests in flight after a refusal, then one after growing pauses with jitter; one trial at a time after failures, which only an answer ends. Repeats of refused statements take from the retry budget that the daemon uses. A statement whose primary pauses for longer than it can wait is refused at once, with the time to come back. The latency has an upper bound.

--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -80,7 +80,7 @@
             Ok(answer) => {
                 self.conn = Some(conn);
                 self.in_transaction = answer.transaction_status != TransactionStatus::Idle;
-                self.pool.on_answer(self, sent_at, answer.point, now);
+                self.pool.on_answer(self, sent_at, &answer, now);
                 Ok(answer)
             }
             Err(e) => {
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -4,7 +4,7 @@
 use super::service_pool::{QueueKind, ServicePool};
 use crate::connection_state::ConnectionState;
 use crate::metrics::Metrics;
-use crate::{ClusterSnapshot, Connector};
+use crate::{Answer, CallerError, ClusterSnapshot, Connector};
 use async_executor::LocalExecutor;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -217,14 +217,10 @@
         self.dispatch(&service, now);
     }
 
-    /// Records the answer to a command that was sent at `sent_at`, with the log point that the server reported.
-    pub(super) fn on_answer(
-        &self,
-        lease: &ConnectionLease<C>,
-        sent_at: Time,
-        point: Option<LogPoint>,
-        now: Time,
-    ) {
+    /// Records the answer to a command that was sent at `sent_at`. The statement records a refusal as overloaded itself,
+    /// with [`Self::on_overloaded`].
+    pub(super) fn on_answer(&self, lease: &ConnectionLease<C>, sent_at: Time, answer: &Answer, now: Time) {
+        let point = answer.point;
         let mut services = self.services.borrow_mut();
         let Some(pool) = services.get_mut(&lease.service) else {
             return;
@@ -237,7 +233,11 @@
             pool.on_primary_point(sent_at, point);
         }
         if let Some(server) = pool.servers.get_mut(&lease.server) {
-            server.on_answer(now.saturating_since(sent_at), point, now);
+            if answer.failure() == Some(CallerError::Busy) {
+                server.on_point(point);
+            } else {
+                server.on_answer(now.saturating_since(sent_at), point, now);
+            }
         }
     }
 
@@ -266,10 +266,29 @@
         }
     }
 
-    /// Raises the latency of a server that refused a statement as overloaded, so that other servers are preferred until
-    /// answers lower it again.
-    pub(super) fn on_busy(&self, lease: &ConnectionLease<C>) {
-        self.with_server(&lease.service, &lease.server, |s| s.latency = s.latency * 3 / 2);
+    /// Records that the lease's server refused a statement as overloaded. Other servers are preferred until answers
+    /// lower its latency again.
+    pub(super) fn on_overloaded(&self, lease: &ConnectionLease<C>, now: Time) {
+        let mut rng = self.rng.borrow_mut();
+        self.with_server(&lease.service, &lease.server, |s| {
+            s.latency.on_overloaded();
+            s.health.on_overloaded(s.in_use, now, &mut *rng);
+        });
+    }
+
+    /// Counts the first attempt of a statement, which earns a part of a retry.
+    pub(super) fn on_first_attempt(&self, service: &str) {
+        if let Some(pool) = self.services.borrow_mut().get_mut(service) {
+            pool.retries.deposit();
+        }
+    }
+
+    /// Whether a statement that a server refused may be tried again. When not, its caller is told to come back.
+    pub(super) fn may_retry(&self, service: &str) -> bool {
+        let mut services = self.services.borrow_mut();
+        services
+            .get_mut(service)
+            .is_some_and(|pool| pool.retries.try_withdraw())
     }
 
     pub(super) fn on_failure(&self, service: &str, server: &str, started: Time, now: Time) {
@@ -282,7 +301,7 @@
         let server = services
             .get(&lease.service)
             .and_then(|p| p.servers.get(&lease.server));
-        server.map_or(Duration::ZERO, |s| s.latency)
+        server.map_or(Duration::ZERO, |s| s.latency.estimate())
     }
 
     pub(super) fn with_server<F>(&self, service: &str, server: &str, f: F)
--- a/crates/gateway/src/traffic/pool_connect.rs
+++ b/crates/gateway/src/traffic/pool_connect.rs
@@ -46,8 +46,8 @@
             Some(Ok(ConnectOutcome::Open(conn, point))) => {
                 self.metrics.on_connect(&service, ConnectResult::Opened);
                 self.with_server(&service, &server, |s| {
-                    s.on_contact(point, now);
-                    s.on_opened();
+                    s.on_point(point);
+                    s.health.on_connected();
                 });
                 let connection_state = ConnectionState::default();
                 let lease = self.new_lease(
@@ -63,7 +63,7 @@
             }
             Some(Ok(ConnectOutcome::Full)) => {
                 self.metrics.on_connect(&service, ConnectResult::Full);
-                self.with_server(&service, &server, |s| s.on_full(now));
+                self.with_server(&service, &server, |s| s.health.on_full(now));
             }
             Some(Ok(ConnectOutcome::WrongServer | ConnectOutcome::Refused)) | None => {
                 self.metrics.on_connect(&service, ConnectResult::Failed);
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -79,6 +79,12 @@
         let queue_kind = pool.queue_kind(lease_request.requirement, now);
         if queue_kind == QueueKind::Primary {
             check_primary_wait(pool, wait_deadline, now)?;
+            let pause_until = pool.primary_pause_until();
+            if pause_until >= wait_deadline {
+                return Err(PoolError::Overloaded {
+                    retry_after: pause_until.saturating_since(now),
+                });
+            }
         }
         let ahead = pool
             .queue(queue_kind)
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -22,8 +22,9 @@
 const READ_TIMEOUT_LATENCY_FACTOR: u32 = 10;
 /// Lower bound of the time after which a read is retried on another server.
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(300);
-/// Upper bound of the exponential backoff between attempts that a server refused without running the statement.
-const MAX_BUSY_BACKOFF: Duration = Duration::from_millis(160);
+/// Upper bound of the exponential backoff between attempts that servers refused without running the statement. After a
+/// refusal as overloaded, the pool paces the server instead.
+pub(super) const MAX_REFUSED_BACKOFF: Duration = Duration::from_millis(160);
 /// Maximum number of retries of a read that ran and failed at a backend server.
 const MAX_FAILED_READ_RETRIES: u32 = 2;
 
@@ -58,6 +59,7 @@
         let mut primary_only = stmt.writes;
         let mut read_failures = 0;
         let mut backoff = RETRY_DELAY;
+        self.cx.pool.on_first_attempt(&route.service);
         loop {
             let requirement = if primary_only {
                 ServerRequirement::Primary
@@ -115,16 +117,21 @@
                     }
                     Some(CallerError::TimedOut) if !stmt.writes => {}
                     Some(error) if error.guarantees_not_run() => {
-                        self.on_retry(req, route, &lease, error.name());
                         if error == CallerError::Busy {
-                            self.cx.pool.on_busy(&lease);
+                            self.cx.pool.on_overloaded(&lease, now);
                         }
-                        drop(lease);
-                        if now + backoff >= deadline {
+                        if !self.cx.pool.may_retry(&route.service) {
                             return mask_server_error(answer, error);
                         }
-                        Timer::after(backoff).await;
-                        backoff = (backoff * 2).min(MAX_BUSY_BACKOFF);
+                        self.on_retry(req, route, &lease, error.name());
+                        drop(lease);
+                        if error != CallerError::Busy {
+                            if now + backoff >= deadline {
+                                return mask_server_error(answer, error);
+                            }
+                            Timer::after(backoff).await;
+                            backoff = (backoff * 2).min(MAX_REFUSED_BACKOFF);
+                        }
                     }
                     Some(error) => return mask_server_error(answer, error),
                 },
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -3,6 +3,7 @@
 use super::backend_statement::BackendStatement;
 use super::refusal::{Refusal, lease_error_detail, log_unanswered};
 use super::requirement::ServerRequirement;
+use super::run_autocommit::MAX_REFUSED_BACKOFF;
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
 use super::transaction::Transaction;
 use crate::{Answer, CallerError, Command, Connector, Request, Statement, TransactionStatus, clock};
@@ -89,6 +90,7 @@
         {
             return self.fail(CallerError::Aborted, lease_error_detail(&e));
         }
+        let mut backoff = RETRY_DELAY;
         loop {
             let now = clock::now();
             if !lease.is_valid(now) {
@@ -108,9 +110,10 @@
             match answer.failure() {
                 Some(CallerError::Busy)
                     if answer.transaction_status == TransactionStatus::InTransaction
-                        && clock::now() + RETRY_DELAY < deadline =>
+                        && clock::now() + backoff < deadline =>
                 {
-                    Timer::after(RETRY_DELAY).await;
+                    Timer::after(backoff).await;
+                    backoff = (backoff * 2).min(MAX_REFUSED_BACKOFF);
                 }
                 _ => return self.finish_statement(answer),
             }
@@ -141,6 +144,7 @@
         let (read_only, started_at, route) = (*read_only, *started_at, Arc::clone(route));
         let deadline = clock::now() + route.timeout.saturating_sub(ANSWER_MARGIN);
         let mut primary_only = !read_only;
+        self.cx.pool.on_first_attempt(&route.service);
         loop {
             let requirement = if primary_only {
                 ServerRequirement::Primary
@@ -168,7 +172,12 @@
                             self.cx.pool.on_replica_point(&lease, point, false, now);
                             primary_only = self.cx.pool.primary_is_usable(&route.service, now);
                         }
-                        if now + RETRY_DELAY >= deadline {
+                        if error == CallerError::Busy {
+                            self.cx.pool.on_overloaded(&lease, now);
+                        }
+                        let may_retry =
+                            error == CallerError::Lagging || self.cx.pool.may_retry(&route.service);
+                        if !may_retry || now + RETRY_DELAY >= deadline {
                             return Err((CallerError::Aborted, "the transaction could not start".into()));
                         }
                         if answer.transaction_status != TransactionStatus::Idle {
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{LogPoint, Time};
-use wasabiyard_schedule::{AdmissionControl, FairQueue, QueuedRequest};
+use wasabiyard_schedule::{AdmissionControl, FairQueue, QueuedRequest, RetryBudget};
 use wasabiyard_session::{PositionSample, PositionSamples};
 
 /// Minimum time between two samples of the primary's log point, unless the term has increased.
@@ -71,6 +71,8 @@
     read_queue: FairQueue<Waiter<R>>,
     pub(super) primary_admission: AdmissionControl,
     pub(super) read_admission: AdmissionControl,
+    /// Limits retries of statements that a server refused.
+    pub(super) retries: RetryBudget,
     /// Servers that are no longer listed, with the time at which this was noticed.
     unlisted: BTreeMap<Arc<str>, Time>,
     /// Ids of the servers that may get new work.
@@ -89,6 +91,7 @@
             read_queue: FairQueue::default(),
             primary_admission: AdmissionControl::default(),
             read_admission: AdmissionControl::default(),
+            retries: RetryBudget::default(),
             unlisted: BTreeMap::new(),
             accepting_servers: Vec::new(),
         }
@@ -198,6 +201,13 @@
             .is_some_and(|p| !p.is_unreachable(now))
     }
 
+    /// When the usable primary gets its next request after it refused one as overloaded; the start of time when it did
+    /// not, or when there is no usable primary.
+    pub(super) fn primary_pause_until(&self) -> Time {
+        let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
+        primary.map_or(Time::ZERO, |p| p.health.overload_pause_until())
+    }
+
     /// The queue for a request: that of the primary, unless a replica is expected to have reached the required log
     /// point.
     pub(super) fn queue_kind(&self, requirement: ServerRequirement, now: Time) -> QueueKind {
@@ -311,7 +321,7 @@
         Candidate {
             primary,
             local: *pool.server.domain == *domain,
-            latency: pool.latency,
+            latency: pool.latency.estimate(),
             running: pool.in_use,
             has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
             available: pool.available(self.limits.max_open, now),
