Take only answered statements for a sign of a healthy server

Cause: a server that resets each statement still answers the commands that set session values. These ended the backoff, so its statements came back to it every 80 ms.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -110,6 +110,13 @@
     Reset,
 }
 
+impl Command<'_> {
+    /// Whether this runs a caller's statement. Other commands may succeed on a server that fails all statements.
+    pub const fn is_statement(&self) -> bool {
+        matches!(self, Self::Forward { .. } | Self::Execute { .. })
+    }
+}
+
 /// A connection to a backend server.
 pub trait ServerConnection {
     /// Runs one command. After an error, or when the future is dropped, the connection must not be used again.
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -59,6 +59,7 @@
     /// Runs a command within `timeout`. Without an answer that leaves the connection usable, it is closed.
     pub(super) async fn run(&mut self, cmd: Command<'_>, timeout: Duration) -> Result<Answer, LeaseError> {
         let sent_at = clock::now();
+        let is_statement = cmd.is_statement();
         let Some(mut conn) = self.conn.take() else {
             return Err(LeaseError::Connection(ConnectionError::Closed));
         };
@@ -80,7 +81,7 @@
             Ok(answer) => {
                 self.conn = Some(conn);
                 self.in_transaction = answer.transaction_status != TransactionStatus::Idle;
-                self.pool.on_answer(self, sent_at, &answer, now);
+                self.pool.on_answer(self, sent_at, &answer, is_statement, now);
                 Ok(answer)
             }
             Err(e) => {
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -219,7 +219,14 @@
 
     /// Records the answer to a command that was sent at `sent_at`. The statement records a refusal as overloaded itself,
     /// with [`Self::on_overloaded`].
-    pub(super) fn on_answer(&self, lease: &ConnectionLease<C>, sent_at: Time, answer: &Answer, now: Time) {
+    pub(super) fn on_answer(
+        &self,
+        lease: &ConnectionLease<C>,
+        sent_at: Time,
+        answer: &Answer,
+        is_statement: bool,
+        now: Time,
+    ) {
         let point = answer.point;
         let mut services = self.services.borrow_mut();
         let Some(pool) = services.get_mut(&lease.service) else {
@@ -233,10 +240,9 @@
             pool.on_primary_point(sent_at, point);
         }
         if let Some(server) = pool.servers.get_mut(&lease.server) {
-            if answer.failure() == Some(CallerError::Busy) {
-                server.on_point(point);
-            } else {
-                server.on_answer(now.saturating_since(sent_at), point, now);
+            server.on_point(point);
+            if answer.failure() != Some(CallerError::Busy) {
+                server.on_answer(now.saturating_since(sent_at), is_statement, now);
             }
         }
     }
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -84,10 +84,13 @@
         self.in_use + self.idle.len() as u32
     }
 
-    pub(super) fn on_answer(&mut self, took: Duration, point: Option<LogPoint>, now: Time) {
+    /// Records an answer other than a refusal as overloaded. Only the answer to a statement shows that the server is
+    /// healthy.
+    pub(super) fn on_answer(&mut self, took: Duration, is_statement: bool, now: Time) {
         self.latency.on_answer(took);
-        self.health.on_answer(now);
-        self.on_point(point);
+        if is_statement {
+            self.health.on_answer(now);
+        }
     }
 
     /// Records the log point that the server reported.
