Let a substitute grant a part of the rate where the coordinator cannot be reached

Traced in the logs of an instance: refusals without a request to the coordinator, with 6 to 10 s to come back. Ruled out: that a pause of all callers starves the bucket (sparse_demand_is_served_after_a_pause passes with and without the change).

Change: in fleets of 15 instances or more, the instance with the second highest weight grants 0.35 of the rate once it has not heard of the coordinator for 1.6 s. The coordinator leaves it that part 1.2 s after it sent the last message that the substitute is known to have received. What a coordinator that does not answer would refuse for seconds is to be tried again after the 300 ms in which it is asked again.

--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -83,6 +83,11 @@
     pub(super) fn on_envelope(&self, envelope: Envelope) {
         let from = envelope.from;
         match envelope.message {
+            PeerMessage::CoordinatorLink(message) => {
+                let own_incarnation = self.settings.instance.incarnation;
+                self.rate_limiter
+                    .on_link_message(&from, envelope.incarnation, message, own_incarnation);
+            }
             PeerMessage::Heartbeat { unreachable } => {
                 self.notify_control(ControlEvent::Heartbeat { from, unreachable });
             }
@@ -179,6 +184,7 @@
             Timer::after(TICK_INTERVAL).await;
             let now = clock::now();
             self.pool.tick(now);
+            self.rate_limiter.send_link_messages(now);
             for (service, epoch) in self.pool.take_released() {
                 self.send_release(&service, epoch);
             }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,7 +1,7 @@
 //! The messages between instances, and the authenticated datagrams that carry them.
 
 use crate::PrimaryRecord;
-use crate::rate::{TokenRequest, TokenResponse};
+use crate::rate::{LinkMessage, TokenRequest, TokenResponse};
 use crate::view::{ViewCursor, ViewPage};
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
@@ -45,6 +45,8 @@
         #[serde(rename = "answer")]
         response: TokenResponse,
     },
+    /// Contact between the rate coordinator of an organisation and its substitute.
+    CoordinatorLink(LinkMessage),
     /// Requests the view changes since `cursor` from a relay.
     #[serde(rename = "ViewAsk")]
     ViewRequest {
--- a/crates/gateway/src/rate/coordinator.rs
+++ b/crates/gateway/src/rate/coordinator.rs
@@ -49,6 +49,10 @@
 #[derive(Debug)]
 pub struct RateCoordinator {
     limits: RateLimits,
+    /// Part of the rate that this coordinator grants; the rest is left to another one.
+    part: f64,
+    /// Part of the rate that is reserved for requesters.
+    reservable_part: f64,
     bucket: TokenBucket,
     requesters: HashMap<InstanceId, Requester>,
 }
@@ -58,11 +62,39 @@
     pub fn open(rate: f64, capacity: f64, now: Time) -> Self {
         Self {
             limits: RateLimits { rate, capacity },
+            part: 1.0,
+            reservable_part: 1.0,
             bucket: TokenBucket::open((rate * INITIAL_TOKENS_S).min(capacity), now),
             requesters: HashMap::new(),
         }
     }
 
+    /// Creates the substitute of a coordinator that cannot be reached, which grants `part` of the rate. It starts without
+    /// tokens, because the coordinator may have granted all of them.
+    pub(super) fn open_substitute(limits: RateLimits, part: f64, now: Time) -> Self {
+        Self {
+            limits,
+            part,
+            reservable_part: 0.0,
+            bucket: TokenBucket::open(0.0, now),
+            requesters: HashMap::new(),
+        }
+    }
+
+    /// Sets the part of the rate that is reserved for requesters. What a substitute may grant is not reserved.
+    pub(super) const fn set_reservable_part(&mut self, part: f64) {
+        self.reservable_part = part;
+    }
+
+    /// Changes the part of the rate that this coordinator grants from `now` on.
+    pub(super) fn set_part(&mut self, part: f64, now: Time) {
+        if (self.part - part).abs() > f64::EPSILON {
+            self.bucket
+                .refill(self.unreserved_rate(now), self.limits.capacity, now);
+            self.part = part;
+        }
+    }
+
     pub(super) const fn set_limits(&mut self, limits: RateLimits) {
         self.limits = limits;
     }
@@ -97,14 +129,14 @@
             .retain(|_, r| now.saturating_since(r.last_request) < RESERVATION_LIFETIME);
     }
 
-    /// The rate without the reservations of requesters that may be spending them.
+    /// The granted part of the rate without the reservations of requesters that may be spending them.
     fn unreserved_rate(&self, now: Time) -> f64 {
         let silent = self
             .requesters
             .values()
             .filter(|r| now.saturating_since(r.last_request) >= SILENCE_THRESHOLD);
         let reserved: f64 = silent.map(|r| r.reserved_rate).sum();
-        (self.limits.rate - reserved).max(0.0)
+        (self.limits.rate * self.part - reserved).max(0.0)
     }
 
     /// Tokens that an operation of a priority class leaves for more urgent ones, so that an organisation at its limit
@@ -124,7 +156,8 @@
         if requester_demand < MIN_RESERVED_DEMAND_PER_S {
             return 0.0;
         }
-        self.limits.rate * requester_demand / total_demand.max(self.limits.rate * MIN_TOTAL_DEMAND_FRACTION)
+        let reservable = self.limits.rate * self.reservable_part;
+        reservable * requester_demand / total_demand.max(self.limits.rate * MIN_TOTAL_DEMAND_FRACTION)
     }
 }
 
--- a/crates/gateway/src/traffic/operation_rate_limiter.rs
+++ b/crates/gateway/src/traffic/operation_rate_limiter.rs
@@ -1,10 +1,11 @@
 //! Rate limiting of operations. An operation is a transaction, or a statement outside one.
 //!
 //! The token bucket of an organisation is held by one instance of the fleet, its rate coordinator. This module requests
-//! tokens from that instance, and falls back to the reserved rate when it does not respond.
+//! tokens from that instance. When it does not respond, it falls back to the reserved rate and then to the substitute of
+//! the coordinator.
 
 use crate::peer::PeerMessage;
-use crate::rate::{RateDecision, RateLimiterState, TokenRequest, TokenResponse};
+use crate::rate::{LinkMessage, RateDecision, RateLimiterState, TokenRequest, TokenResponse};
 use crate::{RouteRule, clock};
 use async_channel::Sender;
 use async_io::Timer;
@@ -13,7 +14,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::InstanceId;
+use wasabiyard_model::{Incarnation, InstanceId, Time};
 
 /// A token is waited for at most the route's target latency divided by this. A short wait smooths bursts; a long one
 /// would only delay operations that are refused in the end.
@@ -24,6 +25,9 @@
 /// time.
 const COORDINATOR_TIMEOUTS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
 
+/// Timeout of a request to the substitute of a coordinator that does not answer.
+const SUBSTITUTE_TIMEOUT: Duration = Duration::from_millis(40);
+
 /// Sends a datagram to one instance, without confirmation of its delivery.
 pub type SendToPeer = Box<dyn Fn(&InstanceId, PeerMessage)>;
 
@@ -104,9 +108,59 @@
             }
             self.state.borrow_mut().on_timeout(organisation, clock::now());
         }
-        self.state
-            .borrow_mut()
-            .decide(organisation, request, clock::now())
+        let now = clock::now();
+        let local = self.state.borrow_mut().decide(organisation, request, now);
+        let substitute = self.state.borrow().substitute(organisation, now);
+        match (local, substitute) {
+            (RateDecision::Refused { .. }, Some(substitute)) => {
+                let decision = self.ask_substitute(&substitute, organisation, request).await;
+                decision.unwrap_or(local)
+            }
+            _ => local,
+        }
+    }
+
+    async fn ask_substitute(
+        &self,
+        substitute: &InstanceId,
+        organisation: &Arc<str>,
+        request: TokenRequest,
+    ) -> Option<RateDecision> {
+        let response = self
+            .request_token(substitute, organisation, request, SUBSTITUTE_TIMEOUT)
+            .await;
+        if response.is_none() {
+            let mut state = self.state.borrow_mut();
+            state.on_substitute_timeout(organisation, clock::now());
+        }
+        response.map(|r| r.decision)
+    }
+
+    /// Sends the messages that are due to the coordinators whose substitute this instance is.
+    pub fn send_link_messages(&self, now: Time) {
+        for (to, message) in self.state.borrow_mut().due_link_messages(now) {
+            (self.send_to)(&to, PeerMessage::CoordinatorLink(message));
+        }
+    }
+
+    /// Handles a message between a coordinator and its substitute.
+    pub fn on_link_message(
+        &self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        message: LinkMessage,
+        own_incarnation: Incarnation,
+    ) {
+        let reply = self.state.borrow_mut().on_link_message(
+            from,
+            incarnation,
+            message,
+            own_incarnation,
+            clock::now(),
+        );
+        if let Some(reply) = reply {
+            (self.send_to)(from, PeerMessage::CoordinatorLink(reply));
+        }
     }
 
     async fn request_token(
