--- a/crates/gateway/src/rate/coordinator_link.rs
+++ b/crates/gateway/src/rate/coordinator_link.rs
@@ -16,40 +16,40 @@
 /// What one of the two instances knows of its contact with the other.
 #[derive(Debug, Clone, Copy)]
 pub struct CoordinatorLink {
-    opened_at: Time,
-    heard_at: Option<Time>,
+    opened: Time,
+    heard: Option<Time>,
     /// When this instance sent the last message that the other one is known to have received.
-    confirmed_at: Option<Time>,
+    confirmed: Option<Time>,
 }
 
 impl CoordinatorLink {
     /// A link without any contact so far.
     pub const fn open(now: Time) -> Self {
         Self {
-            opened_at: now,
-            heard_at: None,
-            confirmed_at: None,
+            opened: now,
+            heard: None,
+            confirmed: None,
         }
     }
 
     /// Records a message of the other instance. `echo` is the time at which this instance sent the last message that the
     /// other one had received.
     pub fn on_message(&mut self, echo: Option<Time>, now: Time) {
-        self.heard_at = Some(now);
+        self.heard = Some(now);
         // A time ahead of the clock is of another process under this id.
-        if let Some(echo) = echo.filter(|at| *at <= now && *at >= self.opened_at) {
-            self.confirmed_at = self.confirmed_at.max(Some(echo));
+        if let Some(echo) = echo.filter(|at| *at <= now && *at >= self.opened) {
+            self.confirmed = self.confirmed.max(Some(echo));
         }
     }
 
     /// Whether the coordinator has to leave the substitute's part of the rate.
     pub fn must_give_up_part(&self, now: Time) -> bool {
-        self.confirmed_at
+        self.confirmed
             .is_none_or(|at| now.saturating_since(at) >= GIVE_UP_AFTER)
     }
 
     /// Whether the substitute may grant its part of the rate.
     pub fn may_stand_in(&self, now: Time) -> bool {
-        now.saturating_since(self.heard_at.unwrap_or(self.opened_at)) >= STAND_IN_AFTER
+        now.saturating_since(self.heard.unwrap_or(self.opened)) >= STAND_IN_AFTER
     }
 }
--- a/crates/gateway/tests/rate_partition.rs
+++ b/crates/gateway/tests/rate_partition.rs
@@ -118,13 +118,14 @@
         let local = self.limiters[at].decide(ORGANISATION, REQUEST, self.now);
         let substitute = self.limiters[at].substitute(ORGANISATION, self.now);
         let decision = match (local, substitute) {
-            (RateDecision::Refused { .. }, Some(substitute)) => match self.ask(at, &substitute) {
-                Some((decision, _)) => decision,
-                None => {
+            (RateDecision::Refused { .. }, Some(substitute)) => {
+                if let Some((decision, _)) = self.ask(at, &substitute) {
+                    decision
+                } else {
                     self.limiters[at].on_substitute_timeout(ORGANISATION, self.now);
                     local
                 }
-            },
+            }
             _ => local,
         };
         matches!(decision, RateDecision::GrantedAfter(_))
