--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -1,6 +1,7 @@
 //! Transactions: start, statements, commit and rollback.
 
 use super::backend_statement::BackendStatement;
+use super::connection_wait::connection_wait_deadline;
 use super::refusal::{Refusal, lease_error_detail, log_unanswered};
 use super::requirement::ServerRequirement;
 use super::run_autocommit::MAX_REFUSED_BACKOFF;
@@ -90,6 +91,8 @@
         {
             return self.fail(CallerError::Aborted, lease_error_detail(&e));
         }
+        // A transaction occupies its connection while it waits, so it gives up as early as one that waits for a connection.
+        let retry_until = connection_wait_deadline(deadline, clock::now());
         let mut backoff = RETRY_DELAY;
         loop {
             let now = clock::now();
@@ -110,7 +113,7 @@
             match answer.failure() {
                 Some(CallerError::Busy)
                     if answer.transaction_status == TransactionStatus::InTransaction
-                        && clock::now() + backoff < deadline =>
+                        && clock::now() + backoff < retry_until =>
                 {
                     Timer::after(backoff).await;
                     backoff = (backoff * 2).min(MAX_REFUSED_BACKOFF);
