Let the instances that used a primary lately decide whether it is lost

Cause: at 295 instances heartbeats come every 1.18 s but reports counted for 1 s, so the fleet never reported as a whole; and an instance uses a given primary every few seconds, yet counted as reaching it when it reported nothing. A dead primary of a large fleet was replaced only once it was missing from the server list. Ruled out for small fleets, where each instance uses each primary all the time; they keep their rule.

Change: heartbeats name the primaries that have answered, too. From 60 instances on the fraction is that of the instances with recent contact, three at least. A report lasts 2.5 heartbeat periods.

Tests: failover.rs, reports of 295 instances of which one in three used the primary.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -1,5 +1,6 @@
 //! Startup and tasks of the control thread, and its channels to the traffic thread.
 
+use super::failover::ServerContacts;
 use super::state::ControlState;
 use super::store_calls::StoreCalls;
 use crate::view::{ViewCursor, ViewPage};
@@ -37,8 +38,8 @@
     Heartbeat {
         /// Instance that sent the heartbeat.
         from: InstanceId,
-        /// Ids of the backend servers that it cannot reach.
-        unreachable: Vec<Arc<str>>,
+        /// Its contacts with backend servers since the last heartbeat.
+        contacts: ServerContacts,
     },
     /// A follower requests the changes since its last page from this relay.
     ViewRequest {
@@ -201,10 +202,10 @@
                     cursor,
                 } => self.serve_view(from, request_id, &cursor),
                 ControlEvent::ViewResponse { request_id, page } => self.on_view_response(request_id, page),
-                ControlEvent::Heartbeat { from, unreachable } => {
+                ControlEvent::Heartbeat { from, contacts } => {
                     let mut state = self.state.borrow_mut();
                     state.registry.on_heartbeat(&from, now);
-                    state.reachability.on_report(from, unreachable, now);
+                    state.reachability.on_report(from, contacts, now);
                 }
             }
         }
--- a/crates/gateway/src/control/failover.rs
+++ b/crates/gateway/src/control/failover.rs
@@ -1,6 +1,7 @@
 //! Failover policy: when a primary is replaced, and by which backend server. Nothing here performs I/O.
 
 use crate::{BackendServer, ClusterSnapshot, PrimaryRecord, ServerStatus};
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,15 +10,36 @@
 /// How long a primary may be missing from the server list before it counts as lost. Entries of the list expire while
 /// the store is unavailable and come back after it returns.
 const UNLISTED_PRIMARY_GRACE: Duration = Duration::from_millis(2_500);
-/// Age at which the last report of an instance no longer counts.
-const REPORT_LIFETIME: Duration = Duration::from_secs(1);
-/// Fraction of the reporting instances that must find a primary unreachable before it is replaced, when every member
-/// reports. The failover is fast then, since no view lease has to expire.
+/// Shortest age at which the last report of an instance no longer counts.
+const MIN_REPORT_LIFETIME: Duration = Duration::from_secs(1);
+/// The same in heartbeat periods, so that one lost heartbeat does not make an instance count as silent.
+const REPORT_LIFETIME_PERIODS: f64 = 2.5;
+/// Shortest interval between heartbeats to the holder of the failover lease.
+const MIN_HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
+/// Interval between heartbeats for each instance of the fleet, so that the load on the lease holder stays bounded.
+const HEARTBEAT_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(4);
+/// Fraction of the instances that know a primary's state that must find it unreachable before it is replaced, when every
+/// member reports. The failover is fast then, since no view lease has to expire.
 const FAST_FAILOVER_FRACTION: f64 = 0.3;
 /// The same fraction when some members do not report. The failover has to wait for their view leases to expire and so
 /// blocks writes for longer, which must pay off for more callers.
 const SLOW_FAILOVER_FRACTION: f64 = 0.5;
 
+/// Smallest fleet in which an instance uses each server only every few seconds. There an instance that reports nothing of
+/// a server has not used it, while in a smaller one it reaches that server.
+const SPARSE_FLEET_INSTANCES: usize = 60;
+/// Fewest instances of such a fleet that must find a primary unreachable, since few may have used it lately.
+const MIN_SPARSE_WITNESSES: u32 = 3;
+
+/// Interval between the heartbeats of an instance of a fleet.
+pub fn heartbeat_period(fleet_size: usize) -> Duration {
+    MIN_HEARTBEAT_PERIOD.max(HEARTBEAT_PERIOD_PER_INSTANCE * fleet_size as u32)
+}
+
+fn report_lifetime(fleet_size: usize) -> Duration {
+    MIN_REPORT_LIFETIME.max(heartbeat_period(fleet_size).mul_f64(REPORT_LIFETIME_PERIODS))
+}
+
 /// Why a primary is replaced.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum FailoverReason {
@@ -27,29 +49,40 @@
     Lost,
 }
 
+/// What an instance has experienced with backend servers since its last heartbeat.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerContacts {
+    /// Ids of the servers that do not answer it.
+    pub unreachable: Vec<Arc<str>>,
+    /// Ids of the servers that have answered it.
+    pub reached: Vec<Arc<str>>,
+}
+
 /// Reports of which instances cannot reach which backend servers, and which primaries are missing from the server
 /// list.
 #[derive(Debug, Clone, Default)]
 pub struct ReachabilityReports {
-    unreachable: HashMap<InstanceId, (Time, Vec<Arc<str>>)>,
+    /// The last report of each instance, with the time at which it was received.
+    reports: HashMap<InstanceId, (Time, ServerContacts)>,
     unlisted_since: HashMap<Arc<str>, Time>,
 }
 
 impl ReachabilityReports {
-    /// Replaces the report of an instance by the list of `servers` that it cannot reach now. An empty list counts as a
-    /// report too.
-    pub fn on_report(&mut self, from: InstanceId, servers: Vec<Arc<str>>, now: Time) {
-        self.unreachable.insert(from, (now, servers));
+    /// Replaces the report of an instance. One without any contact counts as a report too.
+    pub fn on_report(&mut self, from: InstanceId, contacts: ServerContacts, now: Time) {
+        self.reports.insert(from, (now, contacts));
     }
 
-    /// Number of instances with a current report that they cannot reach `server`.
-    pub fn unreachable_count(&self, server: &str, now: Time) -> usize {
-        self.unreachable
-            .values()
-            .filter(|(at, servers)| {
-                now.saturating_since(*at) < REPORT_LIFETIME && servers.iter().any(|s| **s == *server)
-            })
-            .count()
+    /// The current reports of registered instances.
+    fn current<'a>(
+        &'a self,
+        snapshot: &'a ClusterSnapshot,
+        now: Time,
+    ) -> impl Iterator<Item = &'a ServerContacts> {
+        let lifetime = report_lifetime(snapshot.fleet_size());
+        let reports = snapshot.members.iter().filter_map(|m| self.reports.get(&m.id));
+        let current = reports.filter(move |(received, _)| now.saturating_since(*received) < lifetime);
+        current.map(|(_, contacts)| contacts)
     }
 
     /// Updates since when each recorded primary has been missing from the server list in `snapshot`.
@@ -67,21 +100,25 @@
 
     /// Whether so many instances cannot reach a server that replacing it helps more callers than it delays.
     fn reaches_failover_threshold(&self, server: &str, snapshot: &ClusterSnapshot, now: Time) -> bool {
-        let reporting = snapshot
-            .members
-            .iter()
-            .filter(|m| {
-                let report = self.unreachable.get(&m.id);
-                report.is_some_and(|(at, _)| now.saturating_since(*at) < REPORT_LIFETIME)
-            })
-            .count();
-        let threshold = if reporting == snapshot.members.len() {
+        let fleet_size = snapshot.fleet_size();
+        let is_sparse = fleet_size >= SPARSE_FLEET_INSTANCES;
+        let (mut reporting, mut unreachable, mut reached) = (0, 0, 0);
+        for contacts in self.current(snapshot, now) {
+            reporting += 1;
+            if contacts.unreachable.iter().any(|id| **id == *server) {
+                unreachable += 1;
+            } else if !is_sparse || contacts.reached.iter().any(|id| **id == *server) {
+                reached += 1;
+            }
+        }
+        let threshold = if reporting == fleet_size {
             FAST_FAILOVER_FRACTION
         } else {
             SLOW_FAILOVER_FRACTION
         };
-        let affected = self.unreachable_count(server, now);
-        affected > 0 && affected as f64 >= reporting as f64 * threshold
+        let min_unreachable = if is_sparse { MIN_SPARSE_WITNESSES } else { 1 };
+        unreachable >= min_unreachable
+            && f64::from(unreachable) >= f64::from(unreachable + reached) * threshold
     }
 
     fn is_unlisted_past_grace(&self, server: &str, now: Time) -> bool {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -22,7 +22,10 @@
 pub use control_loop::{
     ControlChannels, ControlEvent, ControlHandle, ControlSettings, ControlThread, OutboundMessage,
 };
-pub use failover::{CandidateStatus, FailoverReason, ReachabilityReports, choose_candidate, failover_reason};
+pub use failover::{
+    CandidateStatus, FailoverReason, ReachabilityReports, ServerContacts, choose_candidate, failover_reason,
+    heartbeat_period,
+};
 pub use failover_lease::{FailoverLease, FailoverLeaseRecord};
 pub use instance_registry::{InstanceRegistry, VIEW_LEASE_MARGIN};
 pub use revision_proofs::{RevisionProof, RevisionProofs};
--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -1,21 +1,15 @@
 //! Background tasks of an instance: messages between instances, heartbeats, and updates from new cluster snapshots.
 
 use super::{Gateway, TICK_INTERVAL};
-use crate::control::{ControlEvent, OutboundMessage};
+use crate::control::{ControlEvent, OutboundMessage, heartbeat_period};
 use crate::peer::Envelope;
 use crate::{ClusterSnapshot, Connector, PeerMessage, clock};
 use async_channel::Receiver;
 use async_io::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use wasabiyard_model::{InstanceId, Time};
 
-/// Shortest interval between heartbeats to the holder of the failover lease.
-const MIN_HEARTBEAT_PERIOD: Duration = Duration::from_millis(200);
-/// Interval between heartbeats for each instance of the fleet, so that the load on the lease holder stays bounded.
-const HEARTBEAT_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(4);
-
 impl<C> Gateway<C>
 where
     C: Connector + 'static,
@@ -88,8 +82,8 @@
                 self.rate_limiter
                     .on_link_message(&from, envelope.incarnation, message, own_incarnation);
             }
-            PeerMessage::Heartbeat { unreachable } => {
-                self.notify_control(ControlEvent::Heartbeat { from, unreachable });
+            PeerMessage::Heartbeat { contacts } => {
+                self.notify_control(ControlEvent::Heartbeat { from, contacts });
             }
             PeerMessage::RateRequest {
                 request_id,
@@ -132,16 +126,16 @@
 
     pub(super) async fn heartbeat_loop(self: Rc<Self>) {
         loop {
-            let instances = self.pool.snapshot().fleet_size() as u32;
-            Timer::after(MIN_HEARTBEAT_PERIOD.max(HEARTBEAT_PERIOD_PER_INSTANCE * instances)).await;
+            let period = heartbeat_period(self.pool.snapshot().fleet_size());
+            Timer::after(period).await;
             let now = clock::now();
-            let unreachable = self.pool.unreachable(now);
+            let contacts = self.pool.primary_contacts(period, now);
             self.send_to_lease_holder(&PeerMessage::Heartbeat {
-                unreachable: unreachable.clone(),
+                contacts: contacts.clone(),
             });
             self.notify_control(ControlEvent::Heartbeat {
                 from: self.settings.instance.id.clone(),
-                unreachable,
+                contacts,
             });
             self.resend_releases(now);
         }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,6 +1,7 @@
 //! The messages between instances, and the authenticated datagrams that carry them.
 
 use crate::PrimaryRecord;
+use crate::control::ServerContacts;
 use crate::rate::{LinkMessage, TokenRequest, TokenResponse};
 use crate::view::{ViewCursor, ViewPage};
 use hmac::{Hmac, Mac};
@@ -16,12 +17,12 @@
 /// A message to another instance. Any message may be lost without notice to the sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// The sender is alive and reports the backend servers that it cannot reach. Sent to the holder of the failover
-    /// lease.
+    /// The sender is alive and reports which backend servers answer it and which do not. Sent to the holder of the
+    /// failover lease.
     #[serde(rename = "Report")]
     Heartbeat {
-        /// Ids of backend servers that do not answer the sender.
-        unreachable: Vec<Arc<str>>,
+        /// Its contacts since the last heartbeat.
+        contacts: ServerContacts,
     },
     /// Requests a token for one operation from the rate coordinator of an organisation.
     #[serde(rename = "RateAsk")]
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -3,6 +3,7 @@
 use super::connection_lease::ConnectionLease;
 use super::service_pool::{QueueKind, ServicePool};
 use crate::connection_state::ConnectionState;
+use crate::control::ServerContacts;
 use crate::metrics::Metrics;
 use crate::{Answer, CallerError, ClusterSnapshot, Connector};
 use async_executor::LocalExecutor;
@@ -136,15 +137,23 @@
         }
     }
 
-    /// Ids of the servers that do not answer this instance. They are reported to the holder of the failover
-    /// lease.
-    pub fn unreachable(&self, now: Time) -> Vec<Arc<str>> {
+    /// The primaries that do not answer this instance, and those that have answered a statement within `period`. They are
+    /// reported to the holder of the failover lease.
+    pub fn primary_contacts(&self, period: Duration, now: Time) -> ServerContacts {
         let services = self.services.borrow();
-        let servers = services.values().flat_map(|s| s.servers.values());
-        servers
-            .filter(|s| s.is_unreachable(now))
-            .map(|s| Arc::clone(&s.server.id))
-            .collect()
+        let mut contacts = ServerContacts::default();
+        let primaries = services
+            .values()
+            .filter_map(|s| s.servers.get(s.usable_primary()?.0));
+        for primary in primaries {
+            let id = &primary.server.id;
+            if primary.is_unreachable(now) {
+                contacts.unreachable.push(Arc::clone(id));
+            } else if primary.health.has_answered_within(period, now) {
+                contacts.reached.push(Arc::clone(id));
+            }
+        }
+        contacts
     }
 
     /// The log point that a read must see to be at most `age` stale. `None` when no sample of the primary's log point
--- a/crates/gateway/src/traffic/server_health.rs
+++ b/crates/gateway/src/traffic/server_health.rs
@@ -150,6 +150,11 @@
         true
     }
 
+    /// Whether the server has answered a statement within the last `period`.
+    pub fn has_answered_within(&self, period: Duration, now: Time) -> bool {
+        self.last_answer > Time::ZERO && now.saturating_since(self.last_answer) <= period
+    }
+
     /// Whether all recent requests to the server failed, for at least [`UNREACHABLE_AFTER`].
     pub fn is_unreachable(&self, now: Time) -> bool {
         now.saturating_since(self.last_failure) < FAILURE_LIFETIME
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 use wasabiyard_gateway::control::{
-    CandidateStatus, FailoverReason, ReachabilityReports, choose_candidate, failover_reason,
+    CandidateStatus, FailoverReason, ReachabilityReports, ServerContacts, choose_candidate, failover_reason,
+    heartbeat_period,
 };
 use wasabiyard_gateway::{BackendServer, ClusterSnapshot, PrimaryRecord, Role, ServerStatus};
 use wasabiyard_model::{Incarnation, InstanceId, LogPoint, Term, Time};
@@ -48,10 +49,14 @@
 fn reports(unable_to_reach: &[&str], healthy: &[&str], at: Time) -> ReachabilityReports {
     let mut reports = ReachabilityReports::default();
     for name in unable_to_reach {
-        reports.on_report(InstanceId::from(*name), vec!["p".into()], at);
+        let contacts = ServerContacts {
+            unreachable: vec!["p".into()],
+            reached: Vec::new(),
+        };
+        reports.on_report(InstanceId::from(*name), contacts, at);
     }
     for name in healthy {
-        reports.on_report(InstanceId::from(*name), Vec::new(), at);
+        reports.on_report(InstanceId::from(*name), ServerContacts::default(), at);
     }
     reports
 }
@@ -165,3 +170,74 @@
     listed.servers.remove("p");
     assert_eq!(failover_reason("members", &listed, &reports, NOW), None);
 }
+
+/// A fleet of hundreds of instances, each of which has used the primary in the last heartbeat period with a chance of one
+/// in three.
+fn large_fleet_reports(
+    snapshot: &mut ClusterSnapshot,
+    unable_to_reach: usize,
+    at: Time,
+) -> ReachabilityReports {
+    let names: Vec<_> = (0..295).map(|i| format!("i{i:03}")).collect();
+    snapshot.members = names.iter().map(|n| instance(n)).collect();
+    let mut reports = ReachabilityReports::default();
+    for (i, name) in names.iter().enumerate() {
+        let used = i % 3 == 0;
+        let contacts = match (used, i < unable_to_reach) {
+            (true, true) => (vec!["p".into()], Vec::new()),
+            (true, false) => (Vec::new(), vec!["p".into()]),
+            (false, _) => (Vec::new(), Vec::new()),
+        };
+        let contacts = ServerContacts {
+            unreachable: contacts.0,
+            reached: contacts.1,
+        };
+        reports.on_report(InstanceId::from(name.as_str()), contacts, at);
+    }
+    reports
+}
+
+/// In a large fleet most instances have not used a primary in the last second. If they counted as reaching it, a dead
+/// primary would be replaced only once it is missing from the server list, seconds later.
+#[test]
+fn a_dead_primary_of_a_large_fleet_is_replaced_though_few_instances_use_it() {
+    let mut snapshot = snapshot();
+    let reports = large_fleet_reports(&mut snapshot, 295, NOW);
+    assert_eq!(
+        failover_reason("members", &snapshot, &reports, NOW),
+        Some(FailoverReason::Lost)
+    );
+}
+
+/// A tenth of a large fleet that is cut off from a healthy primary must not replace it for all others.
+#[test]
+fn a_tenth_of_a_large_fleet_does_not_replace_the_primary() {
+    let mut snapshot = snapshot();
+    let reports = large_fleet_reports(&mut snapshot, 30, NOW);
+    assert_eq!(failover_reason("members", &snapshot, &reports, NOW), None);
+}
+
+/// Two instances with broken networks are no reason to replace a primary that no other instance has used lately.
+#[test]
+fn two_witnesses_of_a_large_fleet_are_not_enough() {
+    let mut snapshot = snapshot();
+    let mut reports = large_fleet_reports(&mut snapshot, 6, NOW);
+    for i in 6..295 {
+        let id = InstanceId::from(&*format!("i{i:03}"));
+        reports.on_report(id, ServerContacts::default(), NOW);
+    }
+    assert_eq!(failover_reason("members", &snapshot, &reports, NOW), None);
+}
+
+/// Heartbeats become rarer with the size of the fleet, and a report has to last until the next one. Otherwise a large
+/// fleet never reports as a whole, and each change of a primary waits as if instances were silent.
+#[test]
+fn a_report_lasts_until_the_next_heartbeat() {
+    let mut snapshot = snapshot();
+    let reports = large_fleet_reports(&mut snapshot, 110, NOW);
+    let next = NOW + heartbeat_period(295).mul_f64(1.5);
+    assert_eq!(
+        failover_reason("members", &snapshot, &reports, next),
+        Some(FailoverReason::Lost)
+    );
+}
