--- /dev/null
+++ b/crates/gateway/tests/overloaded_transaction.rs
@@ -0,0 +1,165 @@
+//! A transaction whose server is full: its caller must hear of it while it can still try elsewhere.
+
+use async_executor::LocalExecutor;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_gateway::metrics::Metrics;
+use wasabiyard_gateway::rate::RateLimiterState;
+use wasabiyard_gateway::traffic::{
+    OperationRateLimiter, Pool, PoolSettings, Session, SessionContext, SessionSettings,
+};
+use wasabiyard_gateway::{
+    Answer, BackendServer, CallerError, ClusterSnapshot, Command, Configuration, ConnectOutcome,
+    ConnectionError, Connector, Freshness, Login, PrimaryRecord, Request, Role, RouteRule, ServerConnection,
+    ServerStatus, ServiceRule, Statement, Target, TransactionStatus, clock,
+};
+use wasabiyard_model::{InstanceId, PriorityClass, Term, Version};
+
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A server that starts transactions and refuses every statement in them, and counts what it was sent.
+#[derive(Debug, Clone, Default)]
+struct FullServer {
+    statements: Rc<Cell<u32>>,
+    rollbacks: Rc<Cell<u32>>,
+}
+
+impl Connector for FullServer {
+    type Connection = Self;
+
+    async fn connect(&self, _target: &Target) -> Result<ConnectOutcome<Self>, ConnectionError> {
+        Ok(ConnectOutcome::Open(self.clone(), None))
+    }
+}
+
+impl ServerConnection for FullServer {
+    async fn run(&mut self, cmd: Command<'_>) -> Result<Answer, ConnectionError> {
+        Ok(match cmd {
+            Command::Begin { .. } => Answer::local(TransactionStatus::InTransaction),
+            Command::Rollback => {
+                self.rollbacks.set(self.rollbacks.get() + 1);
+                Answer::local(TransactionStatus::Idle)
+            }
+            _ => {
+                self.statements.set(self.statements.get() + 1);
+                Answer::error(CallerError::Busy, "full", TransactionStatus::InTransaction)
+            }
+        })
+    }
+
+    async fn status(&mut self) -> Result<Option<ServerStatus>, ConnectionError> {
+        Ok(None)
+    }
+
+    async fn demote(&mut self, _term: Term) -> Result<Option<ServerStatus>, ConnectionError> {
+        Ok(None)
+    }
+
+    fn is_reusable(&self) -> bool {
+        true
+    }
+}
+
+fn snapshot() -> ClusterSnapshot {
+    let now = clock::now();
+    let route = RouteRule {
+        name: "renew".into(),
+        service: "members".into(),
+        freshness: Freshness::Latest,
+        timeout: ROUTE_TIMEOUT,
+        target_latency: Duration::from_millis(200),
+        class: PriorityClass::Normal,
+        public: true,
+    };
+    let configuration = Configuration {
+        version: Version(1),
+        routes: [("renew".into(), Arc::new(route))].into(),
+        services: [("members".into(), ServiceRule { max_connections: 180 })].into(),
+        ..Configuration::default()
+    };
+    let server = BackendServer {
+        id: "p".into(),
+        service: "members".into(),
+        address: "10.0.0.1:5000".parse().expect("an address"),
+        domain: "riga-a".into(),
+        capacity: 4,
+        draining: false,
+        role: Role::Primary,
+        started_ms: 1,
+    };
+    let mut snapshot = ClusterSnapshot {
+        configuration: Some(Arc::new(configuration)),
+        configuration_as_of: now,
+        servers_as_of: now,
+        domains_as_of: now,
+        records_as_of: now,
+        ..ClusterSnapshot::default()
+    };
+    snapshot.servers.insert("p".into(), Arc::new(server));
+    snapshot
+        .primaries
+        .insert("members".into(), PrimaryRecord::first("p".into()));
+    snapshot
+}
+
+fn request(text: &str, statement: Statement) -> Request {
+    Request {
+        id: "r1".into(),
+        text: text.into(),
+        statement: Some(statement),
+    }
+}
+
+/// The statement was repeated until the route's time was over, which was also the end of its caller's time: the caller got
+/// no answer, and the transaction kept one of the server's few connections.
+#[test]
+fn a_refused_statement_of_a_transaction_is_answered_while_its_caller_can_still_retry() {
+    let executor = Rc::new(LocalExecutor::new());
+    let metrics = Metrics::open().expect("metrics");
+    let settings = PoolSettings {
+        domain: "riga-a".into(),
+        seed: 1,
+    };
+    let server = FullServer::default();
+    let pool = Pool::new(
+        server.clone(),
+        settings,
+        Rc::clone(&metrics),
+        Rc::clone(&executor),
+    );
+    pool.update(&Arc::new(snapshot()), clock::now());
+    let limiter = RateLimiterState::new(InstanceId::from("i1"), 10.0);
+    let cx = Rc::new(SessionContext {
+        pool,
+        rate_limiter: Rc::new(OperationRateLimiter::new(limiter, Box::new(|_, _| {}))),
+        metrics,
+        executor: Rc::clone(&executor),
+        settings: Cell::new(SessionSettings {
+            key_lifetime: Duration::from_secs(4),
+        }),
+    });
+    let run = async {
+        let login = Login {
+            database: "renew".into(),
+            key: "".into(),
+        };
+        let mut session = Session::open(cx, login).expect("a session");
+        let begin = session
+            .handle(&request("BEGIN", Statement::Begin { read_only: false }))
+            .await;
+        assert_eq!(begin.failure(), None);
+        let started = clock::now();
+        let answer = session.handle(&request("READ 1a4", Statement::Read)).await;
+        let took = clock::now().saturating_since(started);
+        assert_eq!(answer.failure(), Some(CallerError::Busy));
+        assert!(took <= ROUTE_TIMEOUT.mul_f64(0.5), "answered after {took:?}");
+        session.handle(&request("ROLLBACK", Statement::Rollback)).await;
+        futures_lite::future::yield_now().await;
+    };
+    async_io::block_on(executor.run(run));
+    let attempts = server.statements.get();
+    assert!((2..=6).contains(&attempts), "{attempts} attempts");
+    assert_eq!(server.rollbacks.get(), 1);
+}
