Bound the reservation of a requester by its demand

Cause: requesters that fall silent one after the other are answered while the total demand shrinks, so the later ones get up to twice their demand reserved.

Change: at most 1.25 times the requester's demand. Test: instances_that_fall_silent_leave_enough_for_the_others, 48 of 68 served without the bound.

--- a/crates/gateway/src/rate/coordinator.rs
+++ b/crates/gateway/src/rate/coordinator.rs
@@ -19,6 +19,10 @@
 /// with little demand from reserving the whole rate.
 const MIN_TOTAL_DEMAND_FRACTION: f64 = 0.5;
 
+/// Upper bound of a reservation, as a multiple of the requester's demand. What is reserved for requesters that fell silent
+/// is missing for the others.
+const MAX_RESERVED_DEMAND_FACTOR: f64 = 1.25;
+
 /// Initial fill of a new coordinator's bucket, in seconds of the rate. The operations that it lets pass above rate and
 /// burst are within the tolerance that operators configure.
 const INITIAL_TOKENS_S: f64 = 0.3;
@@ -157,7 +161,9 @@
             return 0.0;
         }
         let reservable = self.limits.rate * self.reservable_part;
-        reservable * requester_demand / total_demand.max(self.limits.rate * MIN_TOTAL_DEMAND_FRACTION)
+        let share =
+            reservable * requester_demand / total_demand.max(self.limits.rate * MIN_TOTAL_DEMAND_FRACTION);
+        share.min(requester_demand * MAX_RESERVED_DEMAND_FACTOR)
     }
 }
 
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -176,6 +176,33 @@
     assert!(f64::from(served) >= offered * 0.9, "{served} of {offered}");
 }
 
+/// Load pattern: callers leave the instances one after the other, because these lose sight of the store, while the others
+/// keep their demand, then raise it. What was reserved for instances that have fallen silent must not be so much that
+/// the others are refused inside the rate.
+#[test]
+fn instances_that_fall_silent_leave_enough_for_the_others() {
+    let mut fleet = Fleet::new(7, 100.0, 0.0);
+    let coordinator = fleet.coordinator();
+    let others: Vec<_> = (0..7).filter(|i| *i != coordinator).collect();
+    fleet.run(Duration::from_secs(10), |_| 9.0);
+    for silent in 1..=5 {
+        let leaving = others[..silent].to_vec();
+        fleet.run(Duration::from_millis(400), |i| {
+            if leaving.contains(&i) { 0.0 } else { 9.0 }
+        });
+    }
+    let silent = others[..5].to_vec();
+    fleet.run(Duration::from_millis(1_500), |i| {
+        if silent.contains(&i) { 0.0 } else { 9.0 }
+    });
+    let admitted = fleet.run(Duration::from_secs(2), |i| {
+        if silent.contains(&i) { 0.0 } else { 17.0 }
+    });
+    let served: u32 = admitted.iter().sum();
+    let offered = 2.0 * 2.0 * 17.0;
+    assert!(f64::from(served) >= offered * 0.95, "{served} of {offered}");
+}
+
 /// All instances must agree on the coordinator, and a change of the fleet must move few organisations.
 #[test]
 fn a_change_of_the_fleet_moves_few_coordinators() {
