--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -110,6 +110,7 @@
         entry_is_missing || state.snapshot.age(now) > self.fallback_age(&state)
     }
 
+    /// Age of its view from which this instance, while it is not a relay, reads the store itself.
     fn fallback_age(&self, state: &ControlState) -> Duration {
         let own = &self.settings.instance;
         fallback_age(domain_rank(&own.id, &own.domain, &state.snapshot.members))
--- a/crates/gateway/src/control/store_reads.rs
+++ b/crates/gateway/src/control/store_reads.rs
@@ -1,8 +1,8 @@
 //! Reading the store at the lowest cost that still proves how recent the data is.
 //!
 //! One linearizable call proves a revision. The other documents are read without that guarantee, which costs the store
-//! a fraction, and are accepted when they reflect the proved revision. A read that does not is repeated once, after the
-//! usual lag of the store's replicas, and is made linearizable then.
+//! a fraction, and are accepted when they reflect the proved revision. A read that does not is repeated after the usual lag
+//! of the store's replicas, and in the end made linearizable.
 
 use super::control_loop::ControlThread;
 use super::records::{self, Records};
@@ -77,9 +77,8 @@
         Ok(registered)
     }
 
-    /// Reads and applies the records. Without a recent proof the read is linearizable, and so is the proof of the reads
-    /// that follow.
-    pub(super) async fn read_records_from_store(&self) -> Result<bool, PlatformError> {
+    /// Reads and applies the records. Without a recent proof the read is linearizable, and proves those that follow.
+    async fn read_records_from_store(&self) -> Result<bool, PlatformError> {
         let listed = self.read_proved(|c| self.list_records(c)).await?;
         Ok(self
             .process_records(listed.revision, &listed.value, listed.as_of)
@@ -108,7 +107,7 @@
         })
     }
 
-    pub(super) async fn read_configuration_from_store(&self) -> Result<(), PlatformError> {
+    async fn read_configuration_from_store(&self) -> Result<(), PlatformError> {
         let read = self.read_proved(|c| self.discovery.configuration(c)).await?;
         self.apply_configuration(read.value, read.as_of);
         Ok(())
@@ -134,12 +133,12 @@
         R: Future<Output = Result<AtRevision<T>, PlatformError>>,
     {
         let started = clock::now();
-        let stale_read_may_do = {
+        let has_proof = {
             let state = self.state.borrow();
             let proof = state.proofs.recent(PROOF_REUSE_AGE, started);
             proof.is_some() && started >= state.stale_reads_after
         };
-        if !stale_read_may_do {
+        if !has_proof {
             return self.read_linearizable(read).await;
         }
         for pause in STALE_READ_PAUSES {
--- a/crates/gateway/src/view/relays.rs
+++ b/crates/gateway/src/view/relays.rs
@@ -31,7 +31,6 @@
 /// Longest pause between two probes of any other instance, for each instance of the fleet, so that the calls of a large
 /// fleet to a failing store stay bounded.
 const PROBE_BACKOFF_PER_INSTANCE: Duration = Duration::from_millis(15);
-
 /// Most instances besides the relays that a follower queries.
 const MAX_SUBSTITUTES: usize = 4;
 
