Release a primary that is replaced also without a view lease

Cause: an instance that the store turns away uses no primary once its view lease has ended, but reported a release only while it held one. Ruled out: the announcement, which the instance had applied 14 ms after it was sent.

Change: an instance that has used no primary of the service for the grace time releases it when the record says that it is being replaced, whatever its view lease. It cannot use an older epoch again, since records only rise.

Test: primary_release.rs.

--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -137,13 +137,13 @@
                 from: self.settings.instance.id.clone(),
                 contacts,
             });
-            self.resend_releases(now);
+            self.resend_releases();
         }
     }
 
     /// Repeats, while a primary is being replaced, that this instance no longer uses the old one.
-    pub(super) fn resend_releases(&self, now: Time) {
-        for (service, epoch) in self.pool.released(now) {
+    pub(super) fn resend_releases(&self) {
+        for (service, epoch) in self.pool.released() {
             self.send_release(&service, epoch);
         }
     }
--- a/crates/gateway/src/traffic/primary_release.rs
+++ b/crates/gateway/src/traffic/primary_release.rs
@@ -46,14 +46,13 @@
                 };
                 self.executor.spawn(task).detach();
             }
-            None if view == PrimaryView::FailoverInProgress => {
+            // An instance whose view lease has expired uses no primary either. It learns of the failover from its announcement,
+            // and the holder of the failover lease would wait for it in vain.
+            None if is_being_replaced(service, snapshot) => {
                 let grace_elapsed = {
                     let services = self.services.borrow();
-                    let pool = services.get(service);
-                    pool.is_some_and(|p| {
-                        p.failover_since
-                            .is_some_and(|since| now.saturating_since(since) > RELEASE_GRACE * 2)
-                    })
+                    let unusable_since = services.get(service).and_then(|p| p.unusable_since);
+                    unusable_since.is_some_and(|since| now.saturating_since(since) > RELEASE_GRACE * 2)
                 };
                 if grace_elapsed {
                     self.record_release(service, epoch);
@@ -95,12 +94,12 @@
 
     /// Service and epoch of the releases for failovers in progress. They are reported repeatedly, since datagrams may
     /// be lost.
-    pub fn released(&self, now: Time) -> Vec<(Arc<str>, u64)> {
+    pub fn released(&self) -> Vec<(Arc<str>, u64)> {
         let snapshot = self.snapshot();
         let released = self.released.borrow();
         let in_progress = released
             .iter()
-            .filter(|(service, _)| snapshot.primary(service, now) == PrimaryView::FailoverInProgress);
+            .filter(|(service, _)| is_being_replaced(service, &snapshot));
         in_progress.map(|(s, e)| (Arc::clone(s), *e)).collect()
     }
 
@@ -121,3 +120,9 @@
         services.get(service).is_some_and(|p| p.primary_is_reachable(now))
     }
 }
+
+/// Whether the primary record of the service, as this instance knows it, names no serving primary.
+fn is_being_replaced(service: &str, snapshot: &ClusterSnapshot) -> bool {
+    let record = snapshot.primaries.get(service);
+    record.is_some_and(|r| r.serving().is_none())
+}
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -65,6 +65,8 @@
     pub(super) primary: PrimaryView,
     /// When this instance first saw that the primary is being replaced, `None` when it is not.
     pub(super) failover_since: Option<Time>,
+    /// Since when this instance has used no primary, `None` while it may use one.
+    pub(super) unusable_since: Option<Time>,
     pub(super) limits: ConnectionLimits,
     pub(super) samples: PositionSamples,
     primary_queue: FairQueue<Waiter<R>>,
@@ -85,6 +87,7 @@
             servers: BTreeMap::new(),
             primary: PrimaryView::Unknown,
             failover_since: None,
+            unusable_since: None,
             limits: ConnectionLimits::per_instance(0, 1),
             samples: PositionSamples::default(),
             primary_queue: FairQueue::default(),
@@ -173,6 +176,12 @@
             }
             _ => self.failover_since = None,
         }
+        match &self.primary {
+            PrimaryView::Usable { .. } => self.unusable_since = None,
+            _ => {
+                self.unusable_since.get_or_insert(now);
+            }
+        }
         let PrimaryView::Usable { server: old, .. } = old else {
             return None;
         };
--- /dev/null
+++ b/crates/gateway/tests/primary_release.rs
@@ -0,0 +1,92 @@
+//! Release of a primary that is being replaced, by an instance that cannot prove what it knows.
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_gateway::metrics::Metrics;
+use wasabiyard_gateway::traffic::{Pool, PoolSettings};
+use wasabiyard_gateway::{
+    Answer, BackendServer, ClusterSnapshot, Command, ConnectOutcome, ConnectionError, Connector, Leadership,
+    PrimaryRecord, Role, ServerConnection, ServerStatus, Target, VIEW_LEASE, clock,
+};
+use wasabiyard_model::Term;
+
+/// Refuses all connections; these tests open none.
+#[derive(Debug)]
+struct NoServers;
+
+impl Connector for NoServers {
+    type Connection = Self;
+
+    async fn connect(&self, _target: &Target) -> Result<ConnectOutcome<Self>, ConnectionError> {
+        Ok(ConnectOutcome::Refused)
+    }
+}
+
+impl ServerConnection for NoServers {
+    async fn run(&mut self, _cmd: Command<'_>) -> Result<Answer, ConnectionError> {
+        Err(ConnectionError::Closed)
+    }
+
+    async fn status(&mut self) -> Result<Option<ServerStatus>, ConnectionError> {
+        Ok(None)
+    }
+
+    async fn demote(&mut self, _term: Term) -> Result<Option<ServerStatus>, ConnectionError> {
+        Ok(None)
+    }
+
+    fn is_reusable(&self) -> bool {
+        false
+    }
+}
+
+/// An instance that the store turns away uses no primary once its view lease has ended. It still hears the announcement
+/// of a failover from the other instances. When it did not answer, the holder of the failover lease waited for the
+/// longest possible view lease, and no write was served meanwhile.
+#[test]
+fn an_instance_without_a_view_lease_releases_a_primary_that_is_replaced() {
+    let executor = Rc::new(LocalExecutor::new());
+    let settings = PoolSettings {
+        domain: "riga-a".into(),
+        seed: 1,
+    };
+    let metrics = Metrics::open().expect("metrics");
+    let pool = Pool::new(NoServers, settings, metrics, Rc::clone(&executor));
+    let start = clock::now();
+    let server = BackendServer {
+        id: "p".into(),
+        service: "members".into(),
+        address: "10.0.0.1:5000".parse().expect("an address"),
+        domain: "riga-a".into(),
+        capacity: 4,
+        draining: false,
+        role: Role::Primary,
+        started_ms: 1,
+    };
+    let first = PrimaryRecord::first("p".into());
+    let mut snapshot = ClusterSnapshot {
+        records_as_of: start,
+        ..ClusterSnapshot::default()
+    };
+    snapshot.servers.insert("p".into(), Arc::new(server));
+    snapshot.primaries.insert("members".into(), first.clone());
+    pool.update(&Arc::new(snapshot.clone()), start);
+
+    // No read of the store renews the view lease.
+    let expired = start + VIEW_LEASE;
+    pool.tick(expired);
+    async_io::block_on(executor.run(async {
+        Timer::after(Duration::from_millis(200)).await;
+    }));
+    assert_eq!(pool.take_released(), [("members".into(), 1)]);
+    assert!(pool.released().is_empty());
+
+    let moving = first.followed_by(Leadership::Moving { from: "p".into() });
+    snapshot.primaries.insert("members".into(), moving);
+    pool.update(&Arc::new(snapshot), expired + Duration::from_secs(1));
+    assert_eq!(pool.take_released(), [("members".into(), 2)]);
+    assert_eq!(pool.released(), [("members".into(), 2)]);
+}
