--- a/crates/gateway/tests/overloaded_transaction.rs
+++ b/crates/gateway/tests/overloaded_transaction.rs
@@ -1,19 +1,20 @@
 //! A transaction whose server is full: its caller must hear of it while it can still try elsewhere.
 
+mod support;
+
 use async_executor::LocalExecutor;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use support::{open_pool, snapshot_with_primary};
 use wasabiyard_gateway::metrics::Metrics;
 use wasabiyard_gateway::rate::RateLimiterState;
-use wasabiyard_gateway::traffic::{
-    OperationRateLimiter, Pool, PoolSettings, Session, SessionContext, SessionSettings,
-};
+use wasabiyard_gateway::traffic::{OperationRateLimiter, Session, SessionContext, SessionSettings};
 use wasabiyard_gateway::{
-    Answer, BackendServer, CallerError, ClusterSnapshot, Command, Configuration, ConnectOutcome,
-    ConnectionError, Connector, Freshness, Login, PrimaryRecord, Request, Role, RouteRule, ServerConnection,
-    ServerStatus, ServiceRule, Statement, Target, TransactionStatus, clock,
+    Answer, CallerError, ClusterSnapshot, Command, Configuration, ConnectOutcome, ConnectionError, Connector,
+    Freshness, Login, Request, RouteRule, ServerConnection, ServerStatus, ServiceRule, Statement, Target,
+    TransactionStatus, clock,
 };
 use wasabiyard_model::{InstanceId, PriorityClass, Term, Version};
 
@@ -79,29 +80,13 @@
         services: [("members".into(), ServiceRule { max_connections: 180 })].into(),
         ..Configuration::default()
     };
-    let server = BackendServer {
-        id: "p".into(),
-        service: "members".into(),
-        address: "10.0.0.1:5000".parse().expect("an address"),
-        domain: "riga-a".into(),
-        capacity: 4,
-        draining: false,
-        role: Role::Primary,
-        started_ms: 1,
-    };
-    let mut snapshot = ClusterSnapshot {
+    ClusterSnapshot {
         configuration: Some(Arc::new(configuration)),
         configuration_as_of: now,
         servers_as_of: now,
         domains_as_of: now,
-        records_as_of: now,
-        ..ClusterSnapshot::default()
-    };
-    snapshot.servers.insert("p".into(), Arc::new(server));
-    snapshot
-        .primaries
-        .insert("members".into(), PrimaryRecord::first("p".into()));
-    snapshot
+        ..snapshot_with_primary(now)
+    }
 }
 
 fn request(text: &str, statement: Statement) -> Request {
@@ -118,17 +103,8 @@
 fn a_refused_statement_of_a_transaction_is_answered_while_its_caller_can_still_retry() {
     let executor = Rc::new(LocalExecutor::new());
     let metrics = Metrics::open().expect("metrics");
-    let settings = PoolSettings {
-        domain: "riga-a".into(),
-        seed: 1,
-    };
     let server = FullServer::default();
-    let pool = Pool::new(
-        server.clone(),
-        settings,
-        Rc::clone(&metrics),
-        Rc::clone(&executor),
-    );
+    let pool = open_pool(server.clone(), &metrics, &executor);
     pool.update(&Arc::new(snapshot()), clock::now());
     let limiter = RateLimiterState::new(InstanceId::from("i1"), 10.0);
     let cx = Rc::new(SessionContext {
--- a/crates/gateway/tests/primary_release.rs
+++ b/crates/gateway/tests/primary_release.rs
@@ -1,15 +1,17 @@
 //! Release of a primary that is being replaced, by an instance that cannot prove what it knows.
 
+mod support;
+
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use support::{open_pool, snapshot_with_primary};
 use wasabiyard_gateway::metrics::Metrics;
-use wasabiyard_gateway::traffic::{Pool, PoolSettings};
 use wasabiyard_gateway::{
-    Answer, BackendServer, ClusterSnapshot, Command, ConnectOutcome, ConnectionError, Connector, Leadership,
-    PrimaryRecord, Role, ServerConnection, ServerStatus, Target, VIEW_LEASE, clock,
+    Answer, Command, ConnectOutcome, ConnectionError, Connector, Leadership, ServerConnection, ServerStatus,
+    Target, VIEW_LEASE, clock,
 };
 use wasabiyard_model::Term;
 
@@ -49,30 +51,10 @@
 #[test]
 fn an_instance_without_a_view_lease_releases_a_primary_that_is_replaced() {
     let executor = Rc::new(LocalExecutor::new());
-    let settings = PoolSettings {
-        domain: "riga-a".into(),
-        seed: 1,
-    };
     let metrics = Metrics::open().expect("metrics");
-    let pool = Pool::new(NoServers, settings, metrics, Rc::clone(&executor));
+    let pool = open_pool(NoServers, &metrics, &executor);
     let start = clock::now();
-    let server = BackendServer {
-        id: "p".into(),
-        service: "members".into(),
-        address: "10.0.0.1:5000".parse().expect("an address"),
-        domain: "riga-a".into(),
-        capacity: 4,
-        draining: false,
-        role: Role::Primary,
-        started_ms: 1,
-    };
-    let first = PrimaryRecord::first("p".into());
-    let mut snapshot = ClusterSnapshot {
-        records_as_of: start,
-        ..ClusterSnapshot::default()
-    };
-    snapshot.servers.insert("p".into(), Arc::new(server));
-    snapshot.primaries.insert("members".into(), first.clone());
+    let mut snapshot = snapshot_with_primary(start);
     pool.update(&Arc::new(snapshot.clone()), start);
 
     // No read of the store renews the view lease.
@@ -84,6 +66,7 @@
     assert_eq!(pool.take_released(), [("members".into(), 1)]);
     assert!(pool.released().is_empty());
 
+    let first = &snapshot.primaries["members"];
     let moving = first.followed_by(Leadership::Moving { from: "p".into() });
     snapshot.primaries.insert("members".into(), moving);
     pool.update(&Arc::new(snapshot), expired + Duration::from_secs(1));
