Look for the own registration at growing pauses, without reading the configuration again

An instance that has registered read the records, which grow with the fleet, and the configuration every 60 ms until its entry appeared. When all start at once, replicas lag and processors are full, so this goes on and keeps itself alive. That it is the only cause at 300 is not shown.

Change: pauses from 60 ms, doubled up to 500 ms, and the configuration at most every 600 ms.

--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -23,8 +23,11 @@
 const POLL_PERIOD: Duration = Duration::from_millis(900);
 /// The same for the holder of the failover lease, which also reads after each renewal of the lease.
 const HOLDER_POLL_PERIOD: Duration = Duration::from_millis(1_300);
-/// Pause between the registration of this instance and the read that has to contain its entry.
-const REGISTRATION_CHECK_PAUSE: Duration = Duration::from_millis(60);
+/// Pause between the registration of this instance and the read that has to contain its entry; doubled with each read that
+/// does not. In a large fleet such a read is long, and all instances may start at once.
+const INITIAL_REGISTRATION_PAUSE: Duration = Duration::from_millis(60);
+/// Upper bound of that pause.
+const MAX_REGISTRATION_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between a renewal of the failover lease and the reads that it proves, which covers the usual lag of the store's
 /// replicas.
 const RENEWAL_SETTLING_TIME: Duration = Duration::from_millis(150);
@@ -41,6 +44,7 @@
     /// Reads the store periodically while this instance is a relay, and when the relays do not keep its view recent.
     pub(super) async fn poll_store(self: Rc<Self>) {
         let mut health = PollHealth::new("store");
+        let mut registration_pause = INITIAL_REGISTRATION_PAUSE;
         loop {
             let started = clock::now();
             if !self.may_read_store(started) {
@@ -50,11 +54,15 @@
             let result = self.read_store().await;
             self.on_call_result(&result);
             match health.observe(result) {
-                Some(true) => self.wait_for_next_poll(started).await,
+                Some(true) => {
+                    registration_pause = INITIAL_REGISTRATION_PAUSE;
+                    self.wait_for_next_poll(started).await;
+                }
                 // Records without the entry of this instance have made it register; only a read that contains the entry
                 // renews the view lease.
                 Some(false) => {
-                    Timer::after(REGISTRATION_CHECK_PAUSE).await;
+                    Timer::after(registration_pause).await;
+                    registration_pause = (registration_pause * 2).min(MAX_REGISTRATION_PAUSE);
                 }
                 // The circuit breaker paces the next attempt.
                 None => {}
--- a/crates/gateway/src/control/store_reads.rs
+++ b/crates/gateway/src/control/store_reads.rs
@@ -24,6 +24,9 @@
 ];
 /// Time for which reads are linearizable after all attempts reflected too old a revision.
 const STALE_READS_SUSPENSION: Duration = Duration::from_secs(3);
+/// Shortest interval between two reads of the configuration. While an instance waits for its registration to appear, it
+/// reads the records more often.
+const CONFIGURATION_READ_INTERVAL: Duration = Duration::from_millis(600);
 /// Shortest interval between two reads of the list of backend servers.
 const SERVERS_READ_INTERVAL: Duration = Duration::from_millis(1_300);
 /// Shortest interval between two reads of the failure domains out of service.
@@ -49,14 +52,22 @@
     pub(super) async fn read_store(&self) -> Result<bool, PlatformError> {
         let started = clock::now();
         let registered = self.read_records_from_store().await?;
-        let (servers_due, domains_due) = {
+        let (configuration_due, servers_due, domains_due) = {
             let snapshot = &self.state.borrow().snapshot;
+            let is_due = |as_of, interval| started.saturating_since(as_of) >= interval;
             (
-                started.saturating_since(snapshot.servers_as_of) >= SERVERS_READ_INTERVAL,
-                started.saturating_since(snapshot.domains_as_of) >= DOMAINS_READ_INTERVAL,
+                is_due(snapshot.configuration_as_of, CONFIGURATION_READ_INTERVAL),
+                is_due(snapshot.servers_as_of, SERVERS_READ_INTERVAL),
+                is_due(snapshot.domains_as_of, DOMAINS_READ_INTERVAL),
             )
         };
-        let configuration = self.read_configuration_from_store();
+        let configuration = async {
+            if configuration_due {
+                self.read_configuration_from_store().await
+            } else {
+                Ok(())
+            }
+        };
         let servers = async {
             if servers_due {
                 self.read_servers_from_store().await
