Log refused logins, and tell lost idle connections from servers that do not respond

A report says that logins to an added route are refused as an older configuration says. Refused logins were neither logged nor counted, and a timeout of a call to the store did not tell whether a new connection or one that had been idle was lost, so the hypotheses could not be told apart.

Refused logins are logged with the version and age of the configuration that they rest on and counted by error; a timeout names the time for which its connection had been idle.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -1,6 +1,6 @@
 //! Rate-limited log lines about single statements.
 
-use crate::{CallerError, clock};
+use crate::{CallerError, ClusterSnapshot, clock};
 use std::cell::Cell;
 use std::time::Duration;
 use wasabiyard_model::{Time, Version};
@@ -56,6 +56,47 @@
     pub epoch: u64,
 }
 
+impl DecisionBasis {
+    /// What `snapshot` says at `now` about a service.
+    pub fn new(snapshot: &ClusterSnapshot, service: &str, now: Time) -> Self {
+        Self {
+            configuration: snapshot.configuration.as_ref().map_or(Version(0), |c| c.version),
+            configuration_age: now.saturating_since(snapshot.configuration_as_of),
+            records_age: now.saturating_since(snapshot.records_as_of),
+            epoch: snapshot.primaries.get(service).map_or(0, |r| r.epoch),
+        }
+    }
+}
+
+/// Log event of a login that was refused.
+#[derive(Debug, Clone, Copy)]
+pub struct LoginRefused<'a> {
+    /// Name of the route that the caller asked for.
+    pub database: &'a str,
+    /// Class of the error.
+    pub error: CallerError,
+    /// Text of the error as the caller receives it.
+    pub detail: &'a str,
+    /// Data that the instance based the answer on.
+    pub basis: DecisionBasis,
+}
+
+/// Logs a refused login within the line limit.
+pub fn log_login_refusal(event: &LoginRefused<'_>) {
+    if !try_acquire_line(clock::now()) {
+        return;
+    }
+    log::info!(
+        database = event.database,
+        error = event.error.name(),
+        detail = event.detail,
+        configuration = event.basis.configuration.0,
+        configuration_age_ms = event.basis.configuration_age.as_millis() as u64,
+        records_age_ms = event.basis.records_age.as_millis() as u64;
+        "login refused"
+    );
+}
+
 /// Log event of a statement that is retried.
 #[derive(Debug, Clone, Copy)]
 pub struct Retried<'a> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -76,6 +76,7 @@
     placements: Counter<u64>,
     connects: Counter<u64>,
     retries: Counter<u64>,
+    logins_refused: Counter<u64>,
     sessions: Arc<AtomicUsize>,
     store_calls: Arc<StoreCalls>,
 }
@@ -152,6 +153,7 @@
                 "wasabiyard_retries",
                 "Statements tried again by the instance, by service and cause",
             ),
+            logins_refused: counter("wasabiyard_logins_refused", "Logins refused, by error"),
             sessions,
             store_calls,
             registry,
@@ -201,6 +203,12 @@
         self.retries.add(1, &[service, KeyValue::new("cause", cause)]);
     }
 
+    /// Records a refused login.
+    pub fn on_login_refused(&self, error: CallerError) {
+        self.logins_refused
+            .add(1, &[KeyValue::new("error", error.name())]);
+    }
+
     /// Records a new caller connection.
     pub fn on_session_opened(&self) {
         self.sessions.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -10,8 +10,8 @@
 use crate::connection_state::SessionValues;
 use crate::metrics::{Metrics, StatementKind};
 use crate::{
-    Answer, CallerError, Connector, Login, Outcome, PreparedStatement, Request, RouteRule, Statement,
-    TransactionStatus, clock, event_log,
+    Answer, CallerError, ClusterSnapshot, Connector, Login, Outcome, PreparedStatement, Request, RouteRule,
+    Statement, TransactionStatus, clock, event_log,
 };
 use async_executor::LocalExecutor;
 use std::cell::Cell;
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time, Version};
+use wasabiyard_model::{LogPoint, Time};
 
 /// Part of the route's timeout that is reserved for the answer's way back to the caller.
 pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(15);
@@ -95,13 +95,16 @@
     /// The error answer for the caller.
     pub fn open(cx: Rc<SessionContext<C>>, login: Login) -> Result<Self, Answer> {
         let snapshot = cx.pool.snapshot();
-        let refuse = |(error, detail): Refusal| Answer::error(error, detail, TransactionStatus::Idle);
-        let configuration = snapshot
-            .configuration
-            .as_ref()
-            .ok_or_else(|| refuse(busy_error("no configuration yet", Duration::from_millis(500))))?;
-        let route = find_route(configuration, &login.database).map_err(refuse)?;
-        let organisation = organisation_of(configuration, &route, &login.key).map_err(refuse)?;
+        let (route, organisation) = admit(&snapshot, &login).map_err(|(error, detail)| {
+            cx.metrics.on_login_refused(error);
+            event_log::log_login_refusal(&event_log::LoginRefused {
+                database: &login.database,
+                error,
+                detail: &detail,
+                basis: event_log::DecisionBasis::new(&snapshot, "", clock::now()),
+            });
+            Answer::error(error, detail, TransactionStatus::Idle)
+        })?;
         Ok(Self {
             cx,
             login,
@@ -166,13 +169,7 @@
 
     /// Versions and ages of the data that a decision at `now` is based on.
     pub(super) fn decision_basis(&self, now: Time) -> event_log::DecisionBasis {
-        let snapshot = self.cx.pool.snapshot();
-        event_log::DecisionBasis {
-            configuration: snapshot.configuration.as_ref().map_or(Version(0), |c| c.version),
-            configuration_age: now.saturating_since(snapshot.configuration_as_of),
-            records_age: now.saturating_since(snapshot.records_as_of),
-            epoch: snapshot.primaries.get(&self.service).map_or(0, |r| r.epoch),
-        }
+        event_log::DecisionBasis::new(&self.cx.pool.snapshot(), &self.service, now)
     }
 
     pub(super) fn kind(&self, req: &Request) -> StatementKind {
@@ -299,6 +296,16 @@
     }
 }
 
+/// The route and the organisation of a login.
+fn admit(snapshot: &ClusterSnapshot, login: &Login) -> Result<(Arc<RouteRule>, Arc<str>), Refusal> {
+    let Some(configuration) = &snapshot.configuration else {
+        return Err(busy_error("no configuration yet", Duration::from_millis(500)));
+    };
+    let route = find_route(configuration, &login.database)?;
+    let organisation = organisation_of(configuration, &route, &login.key)?;
+    Ok((route, organisation))
+}
+
 impl<C> Drop for Session<C>
 where
     C: Connector + 'static,
--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -63,6 +63,7 @@
     /// [`HttpError`] tells whether the server may have handled the request.
     pub async fn execute(&self, req: &HttpRequest<'_>, timeout: Duration) -> Result<HttpResponse, HttpError> {
         let idle = self.take_idle().await;
+        let idle_for = idle.as_ref().map(HttpConnection::idle_for);
         let deadline = Timer::after(timeout);
         let mut sent = false;
         let outcome = async {
@@ -76,7 +77,7 @@
         }
         .or(async {
             deadline.await;
-            Err(HttpError::ResponseLost(format!("no response within {timeout:?}")))
+            Err(HttpError::ResponseLost(no_response(timeout, idle_for)))
         })
         .await;
         match outcome {
@@ -113,3 +114,14 @@
         }
     }
 }
+
+/// Text of a timeout. It tells a connection that was lost while it was idle from a server that does not respond.
+fn no_response(timeout: Duration, idle_for: Option<Duration>) -> String {
+    match idle_for {
+        Some(idle_for) => {
+            let idle_ms = idle_for.as_millis();
+            format!("no response within {timeout:?} on a connection that had been idle for {idle_ms} ms")
+        }
+        None => format!("no response within {timeout:?} on a new connection"),
+    }
+}
--- a/crates/platform/src/http_connection.rs
+++ b/crates/platform/src/http_connection.rs
@@ -10,6 +10,7 @@
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 /// Maximum size of one response body. A list of all manifest sections may be many times the maximum size of one value
 /// (1 MB).
@@ -21,6 +22,8 @@
 pub(crate) struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Connection<HttpStream, Full<Bytes>>,
+    /// When the connection was opened or the last response ended.
+    used_at: Instant,
 }
 
 /// A complete response.
@@ -53,7 +56,16 @@
         let (sender, driver) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(|e| HttpError::NotSent(format!("HTTP handshake failed: {e}")))?;
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            driver,
+            used_at: Instant::now(),
+        })
+    }
+
+    /// Time since the last response.
+    pub(crate) fn idle_for(&self) -> Duration {
+        self.used_at.elapsed()
     }
 
     /// Whether the server still keeps the connection open.
@@ -79,7 +91,11 @@
         let req = req
             .body(Full::new(body))
             .map_err(|e| HttpError::NotSent(format!("cannot build the request: {e}")))?;
-        let Self { sender, driver } = self;
+        let Self {
+            sender,
+            driver,
+            used_at,
+        } = self;
         let exchange = async {
             let (head, body) = sender
                 .send_request(req)
@@ -103,7 +119,9 @@
             }
             future::pending().await
         };
-        exchange.or(drive).await
+        let response = exchange.or(drive).await;
+        *used_at = Instant::now();
+        response
     }
 }
 
