--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -48,13 +48,18 @@
     }
 
     /// Sends a read. Since a read changes nothing, a lost response is reported as an unavailable platform.
-    async fn read(&self, path: &str, timeout: Duration) -> Result<HttpResponse, PlatformError> {
-        let response = self
-            .client
-            .execute(&HttpRequest::new(Method::GET, path), timeout)
-            .await;
-        match response {
-            Ok(response) => check_status(response, path),
+    async fn read(&self, path: &str) -> Result<HttpResponse, PlatformError> {
+        self.send_get(&HttpRequest::new(Method::GET, path), self.timeout)
+            .await
+    }
+
+    async fn send_get(
+        &self,
+        req: &HttpRequest<'_>,
+        timeout: Duration,
+    ) -> Result<HttpResponse, PlatformError> {
+        match self.client.execute(req, timeout).await {
+            Ok(response) => check_status(response, req.path),
             Err(HttpError::NotSent(reason) | HttpError::ResponseLost(reason)) => {
                 Err(PlatformError::Unavailable { reason })
             }
@@ -95,7 +100,7 @@
 impl Platform for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         let path = format!("/objects/{}", percent_encode(key));
-        let resp = self.read(&path, self.timeout).await?;
+        let resp = self.read(&path).await?;
         if resp.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -123,7 +128,7 @@
 
     async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
         let path = format!("/objects?prefix={}", percent_encode(prefix));
-        parse_body(&self.read(&path, self.timeout).await?, prefix)
+        parse_body(&self.read(&path).await?, prefix)
     }
 
     async fn watch(&self, prefix: &str, since: u64, timeout: Duration) -> Result<Changes, PlatformError> {
@@ -132,11 +137,15 @@
             percent_encode(prefix),
             timeout.as_millis()
         );
-        parse_body(&self.read(&path, timeout + self.timeout).await?, prefix)
+        let req = HttpRequest {
+            may_wait: true,
+            ..HttpRequest::new(Method::GET, &path)
+        };
+        parse_body(&self.send_get(&req, timeout + self.timeout).await?, prefix)
     }
 
     async fn instances(&self) -> Result<Vec<ListedInstance>, PlatformError> {
-        let response = self.read("/instances", self.timeout).await?;
+        let response = self.read("/instances").await?;
         Ok(parse_body::<InstancesBody>(&response, "/instances")?.instances)
     }
 }
--- a/crates/platform/src/http_connection.rs
+++ b/crates/platform/src/http_connection.rs
@@ -24,6 +24,8 @@
     driver: Connection<HttpStream, Full<Bytes>>,
     /// When the connection was opened or the last response ended.
     used_at: Instant,
+    /// Time from the last request to the end of its response.
+    response_time: Duration,
 }
 
 /// A complete response.
@@ -60,9 +62,15 @@
             sender,
             driver,
             used_at: Instant::now(),
+            response_time: Duration::ZERO,
         })
     }
 
+    /// Time from the last request to the end of its response.
+    pub(crate) const fn response_time(&self) -> Duration {
+        self.response_time
+    }
+
     /// Time since the last response.
     pub(crate) fn idle_for(&self) -> Duration {
         self.used_at.elapsed()
@@ -95,7 +103,9 @@
             sender,
             driver,
             used_at,
+            response_time,
         } = self;
+        let started = Instant::now();
         let exchange = async {
             let (head, body) = sender
                 .send_request(req)
@@ -121,6 +131,7 @@
         };
         let response = exchange.or(drive).await;
         *used_at = Instant::now();
+        *response_time = used_at.duration_since(started);
         response
     }
 }
