Refuse no name or key for good by a configuration that may be outdated

Callers of an added route or with an added key got a final refusal, as an older configuration says, from an instance that had not read a newer one for seconds; they do not try again after it.

Cause: the age of the configuration was checked only for keys that it contains. Unknown names and keys were refused whatever its age, so every delay of a configuration became a wrong final answer. The class of fault is a negative answer taken from a cache without its age.

What logins and statements are checked against stands in one module.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Request path, run on the traffic thread: caller sessions, connection pools and the choice of a backend server.
 
+mod access;
 mod backend_statement;
 mod connection_lease;
 mod connection_limits;
@@ -22,6 +23,7 @@
 mod session;
 mod transaction;
 
+pub use access::admit;
 pub use connection_limits::ConnectionLimits;
 pub use connection_wait::connection_wait_deadline;
 pub use operation_rate_limiter::{OperationRateLimiter, SendToPeer};
--- a/crates/gateway/src/traffic/refusal.rs
+++ b/crates/gateway/src/traffic/refusal.rs
@@ -2,19 +2,12 @@
 
 use super::connection_lease::{ConnectionLease, LeaseError};
 use super::pool::PoolError;
-use crate::{
-    Answer, CallerError, Configuration, ConnectionError, Connector, Request, RouteRule, TransactionStatus,
-    event_log,
-};
+use crate::{Answer, CallerError, ConnectionError, Connector, Request, TransactionStatus, event_log};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-/// Organisation name given to backend servers for callers without a key.
-pub(super) const ANONYMOUS_ORGANISATION: &str = "-";
-
 /// An error and its text for the caller.
-pub(super) type Refusal = (CallerError, Rc<str>);
+pub type Refusal = (CallerError, Rc<str>);
 
 /// Replaces errors about one backend server, which the caller neither knows nor can choose, by [`CallerError::Busy`].
 pub(super) fn mask_server_error(answer: Answer, error: CallerError) -> Answer {
@@ -75,23 +68,3 @@
         LeaseError::Revoked => "primary_moved",
     }
 }
-
-pub(super) fn find_route(configuration: &Configuration, database: &str) -> Result<Arc<RouteRule>, Refusal> {
-    configuration
-        .routes
-        .get(database)
-        .map(Arc::clone)
-        .ok_or_else(|| (CallerError::UnknownDatabase, "no route has this name".into()))
-}
-
-pub(super) fn organisation_of(
-    configuration: &Configuration,
-    route: &RouteRule,
-    key: &str,
-) -> Result<Arc<str>, Refusal> {
-    match configuration.keys.get(key) {
-        Some(organisation) => Ok(Arc::clone(&organisation.name)),
-        None if route.public => Ok(Arc::from(ANONYMOUS_ORGANISATION)),
-        None => Err((CallerError::AuthenticationFailed, "the key is not valid".into())),
-    }
-}
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -1,11 +1,11 @@
 //! Statements outside a transaction, with their retries.
 
+use super::access::ANONYMOUS_ORGANISATION;
 use super::backend_statement::BackendStatement;
 use super::connection_lease::{ConnectionLease, LeaseError};
 use super::pool_queue::LeaseRequest;
 use super::refusal::{
-    ANONYMOUS_ORGANISATION, Refusal, lease_error_cause, lease_error_detail, log_unanswered,
-    mask_server_error, pool_refusal,
+    Refusal, lease_error_cause, lease_error_detail, log_unanswered, mask_server_error, pool_refusal,
 };
 use super::requirement::{ServerRequirement, required_point};
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
@@ -36,7 +36,7 @@
         if self.transaction.is_some() {
             return self.run_in_transaction(req, stmt).await;
         }
-        let route = match self.route() {
+        let route = match self.route(now) {
             Ok(route) => route,
             Err((error, detail)) => return Answer::error(error, detail, TransactionStatus::Idle),
         };
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -21,7 +21,7 @@
         if self.transaction_status() != TransactionStatus::Idle {
             return self.fail(CallerError::Malformed, "a transaction is open");
         }
-        let route = match self.route() {
+        let route = match self.route(now) {
             Ok(route) => route,
             Err((error, detail)) => return Answer::error(error, detail, TransactionStatus::Idle),
         };
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -1,17 +1,16 @@
 //! A caller's session: its values, prepared names, last commit and transaction.
 
+use super::access;
 use super::backend_statement::BackendStatement;
 use super::operation_rate_limiter::OperationRateLimiter;
 use super::pool::Pool;
-use super::refusal::{
-    ANONYMOUS_ORGANISATION, Refusal, busy_error, find_route, lease_error_detail, organisation_of,
-};
+use super::refusal::{Refusal, lease_error_detail};
 use super::transaction::Transaction;
 use crate::connection_state::SessionValues;
 use crate::metrics::{Metrics, StatementKind};
 use crate::{
-    Answer, CallerError, ClusterSnapshot, Connector, Login, Outcome, PreparedStatement, Request, RouteRule,
-    Statement, TransactionStatus, clock, event_log,
+    Answer, CallerError, Connector, Login, Outcome, PreparedStatement, Request, RouteRule, Statement,
+    TransactionStatus, clock, event_log,
 };
 use async_executor::LocalExecutor;
 use std::cell::Cell;
@@ -73,7 +72,7 @@
     pub(super) login: Login,
     /// Service of the route at login, for metrics and logs.
     pub(super) service: Arc<str>,
-    /// Organisation of the caller's key, [`ANONYMOUS_ORGANISATION`] without one.
+    /// Organisation of the caller's key, `-` without one.
     pub(super) organisation: Arc<str>,
     /// Values that the caller has set; set on each connection before a statement of the session runs there.
     pub(super) values: Rc<SessionValues>,
@@ -95,13 +94,14 @@
     /// The error answer for the caller.
     pub fn open(cx: Rc<SessionContext<C>>, login: Login) -> Result<Self, Answer> {
         let snapshot = cx.pool.snapshot();
-        let (route, organisation) = admit(&snapshot, &login).map_err(|(error, detail)| {
+        let now = clock::now();
+        let (route, organisation) = access::admit(&snapshot, &login, now).map_err(|(error, detail)| {
             cx.metrics.on_login_refused(error);
             event_log::log_login_refusal(&event_log::LoginRefused {
                 database: &login.database,
                 error,
                 detail: &detail,
-                basis: event_log::DecisionBasis::new(&snapshot, "", clock::now()),
+                basis: event_log::DecisionBasis::new(&snapshot, "", now),
             });
             Answer::error(error, detail, TransactionStatus::Idle)
         })?;
@@ -224,35 +224,13 @@
 
     /// Checks that the key is still valid, by a configuration that is recent enough.
     pub(super) fn authorise(&self, now: Time) -> Result<(), Refusal> {
+        let key_lifetime = self.cx.settings.get().key_lifetime;
         let snapshot = self.cx.pool.snapshot();
-        let Some(configuration) = &snapshot.configuration else {
-            return Err(busy_error("no configuration yet", Duration::from_millis(500)));
-        };
-        if let Some(organisation) = configuration.keys.get(&*self.login.key) {
-            if organisation.name != self.organisation {
-                return Err((
-                    CallerError::AuthenticationFailed,
-                    "the key belongs to another organisation".into(),
-                ));
-            }
-        } else if &*self.organisation != ANONYMOUS_ORGANISATION {
-            return Err((CallerError::AuthenticationFailed, "the key is not valid".into()));
-        }
-        if !snapshot.keys_are_current(self.cx.settings.get().key_lifetime, now) {
-            return Err(busy_error(
-                "the configuration is too old to trust keys",
-                Duration::from_secs(1),
-            ));
-        }
-        Ok(())
+        access::check_key(&snapshot, &self.login.key, &self.organisation, key_lifetime, now)
     }
 
-    pub(super) fn route(&self) -> Result<Arc<RouteRule>, Refusal> {
-        let snapshot = self.cx.pool.snapshot();
-        match &snapshot.configuration {
-            Some(configuration) => find_route(configuration, &self.login.database),
-            None => Err(busy_error("no configuration yet", Duration::from_millis(500))),
-        }
+    pub(super) fn route(&self, now: Time) -> Result<Arc<RouteRule>, Refusal> {
+        access::find_route(&self.cx.pool.snapshot(), &self.login.database, now)
     }
 
     /// Answers with an error of the instance. An open transaction is rolled back and becomes failed.
@@ -296,16 +274,6 @@
     }
 }
 
-/// The route and the organisation of a login.
-fn admit(snapshot: &ClusterSnapshot, login: &Login) -> Result<(Arc<RouteRule>, Arc<str>), Refusal> {
-    let Some(configuration) = &snapshot.configuration else {
-        return Err(busy_error("no configuration yet", Duration::from_millis(500)));
-    };
-    let route = find_route(configuration, &login.database)?;
-    let organisation = organisation_of(configuration, &route, &login.key)?;
-    Ok((route, organisation))
-}
-
 impl<C> Drop for Session<C>
 where
     C: Connector + 'static,
