--- a/crates/platform/src/http_connection.rs
+++ b/crates/platform/src/http_connection.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use smol_hyper::rt::FuturesIo;
 use std::fmt;
 use std::net::{SocketAddr, TcpStream};
@@ -33,6 +33,8 @@
 pub struct HttpResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Whole body, at most 64 MiB.
     pub body: Bytes,
 }
@@ -119,6 +121,7 @@
                 .to_bytes();
             Ok(HttpResponse {
                 status: head.status,
+                headers: head.headers,
                 body,
             })
         };
