Trust records of a restored store only when the lease holder has confirmed them

Cause: what the store has forgotten was taken for what never happened. The record of a primary went back to the former one, which processes without memory believed; the fencing token was given out twice; withdrawn keys and lost registrations were believed in the same way. The class of fault is state that is proved by a read alone, when the store behind it can lose acknowledged writes. Versions that stay in order do not help there.

The failover lease now names the generation of the store that its holder has confirmed, and nothing proves freshness before: no view lease is granted. The holder writes all primary records again in epochs above any that were lost, at once if it has held the lease without a gap, and otherwise when the view leases from before have ended and the other instances have reported what they know. No primary is replaced before that time, since a lost registration would not be waited for. Fencing tokens start anew above all earlier ones. Configurations are trusted after the time in which operators have written them again. Records of earlier builds count as confirmed.

--- a/crates/gateway/src/control/failover_lease.rs
+++ b/crates/gateway/src/control/failover_lease.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{Incarnation, Time, Version};
+use wasabiyard_platform::Generation;
 
 /// Time after sending its last successful renewal for which the holder may act on the lease.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -15,6 +16,8 @@
 /// Upper bound of the stagger. In a large fleet many of the first-ranked instances may be cut off together with the
 /// holder, and an unbounded stagger would add up over all of them.
 const MAX_TAKEOVER_STAGGER: Duration = Duration::from_millis(1_500);
+/// Value of [`FailoverLeaseRecord::confirmed`] and [`FailoverLeaseRecord::settled`] before the first generation.
+const NO_GENERATION: u64 = u64::MAX;
 
 /// The failover lease as stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +32,68 @@
     pub renewals: u64,
     /// Whether the holder released the lease before its expiry.
     pub released: bool,
+    /// Newest generation of the store whose records a holder has confirmed. `None` in records of builds that did not
+    /// know of restores; the present generation counts as confirmed then.
+    #[serde(default)]
+    pub confirmed: Option<u64>,
+    /// The same for generations in which every view lease from before the restore has expired.
+    #[serde(default)]
+    pub settled: Option<u64>,
+}
+
+/// What a write of the lease depends on besides the lease itself.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeaseTerms {
+    /// Generation of the store.
+    pub generation: Generation,
+    /// Whether this process may confirm that generation.
+    pub may_confirm: bool,
+    /// Whether this process knows that the generation has settled.
+    pub has_settled: bool,
+}
+
+impl LeaseTerms {
+    /// The confirmed generation in a record that follows `previous`.
+    fn confirmed_after(&self, previous: Option<&FailoverLeaseRecord>) -> Option<u64> {
+        let before = previous.map_or(Some(NO_GENERATION), |record| record.confirmed);
+        self.reached_after(self.may_confirm, before)
+    }
+
+    /// The settled generation in a record that follows `previous`.
+    fn settled_after(&self, previous: Option<&FailoverLeaseRecord>) -> Option<u64> {
+        let before = previous.map_or(Some(NO_GENERATION), |record| record.settled);
+        self.reached_after(self.has_settled, before)
+    }
+
+    fn reached_after(&self, reached: bool, before: Option<u64>) -> Option<u64> {
+        if reached || covers(before, self.generation) {
+            Some(self.generation.restores())
+        } else {
+            before
+        }
+    }
+
+    /// The fencing token of an acquisition after `previous`. It exceeds those that a restored store has forgotten.
+    fn fence_after(&self, previous: Option<&FailoverLeaseRecord>) -> u64 {
+        let next = previous.map_or(1, |record| record.fence + 1);
+        next.max(self.generation.counter_floor() + 1)
+    }
+}
+
+impl FailoverLeaseRecord {
+    /// Whether a holder has confirmed the records of `generation`.
+    pub fn confirms(&self, generation: Generation) -> bool {
+        covers(self.confirmed, generation)
+    }
+
+    /// Whether a holder has seen `generation` settle.
+    pub fn has_settled(&self, generation: Generation) -> bool {
+        covers(self.settled, generation)
+    }
+}
+
+fn covers(recorded: Option<u64>, generation: Generation) -> bool {
+    recorded.is_none_or(|g| g == generation.restores())
 }
 
 /// The failover lease as this instance has observed it.
@@ -37,8 +102,9 @@
     record: Option<(Version, FailoverLeaseRecord)>,
     /// When the current version of the record, or its absence, was first observed; `None` before the first read.
     observed_at: Option<Time>,
-    /// When this process sent its last successful write of the record.
+    /// When this process sent its last successful write of the record, and the version that it wrote.
     renewed_at: Option<Time>,
+    written_version: Option<Version>,
 }
 
 impl FailoverLease {
@@ -60,6 +126,7 @@
     /// because the store may have applied the write at any moment since.
     pub fn on_written(&mut self, version: Version, record: FailoverLeaseRecord, sent: Time, now: Time) {
         self.record = Some((version, record));
+        self.written_version = Some(version);
         self.renewed_at = Some(sent);
         self.observed_at = Some(now);
     }
@@ -86,43 +153,59 @@
         (is_holder && now < renewed + HOLDER_TIMEOUT).then_some(record.fence)
     }
 
+    /// Whether this process holds the lease and no other one can have acquired it up to `now`, even if the store has
+    /// forgotten such a write.
+    pub fn is_exclusive(&self, now: Time) -> bool {
+        let is_own = self.record.as_ref().map(|(version, _)| *version) == self.written_version;
+        is_own && self.renewed_at.is_some_and(|at| now < at + TAKEOVER_TIMEOUT)
+    }
+
     /// The record that this process should write at `now` to acquire or renew the lease, or `None` when no write is
     /// due. `rank` is the place of this instance among those that could acquire it, and `period` the renewal period.
+    ///
+    /// After a restore of the store, a holder acquires its lease again, because the store may have forgotten a later
+    /// holder with a higher fencing token.
     pub fn due_write(
         &self,
         own_id: &Arc<str>,
         incarnation: Incarnation,
         rank: usize,
         period: Duration,
+        terms: LeaseTerms,
         now: Time,
     ) -> Option<FailoverLeaseRecord> {
         let observed_at = self.observed_at?;
         let unchanged_for = now.saturating_since(observed_at);
         let delay = (TAKEOVER_STAGGER * rank as u32).min(MAX_TAKEOVER_STAGGER);
-        let Some((_, record)) = &self.record else {
-            return (unchanged_for >= delay).then(|| acquired_record(own_id, incarnation, 1));
+        let previous = self.record.as_ref().map(|(_, record)| record);
+        let acquired = || FailoverLeaseRecord {
+            holder: Arc::clone(own_id),
+            incarnation,
+            fence: terms.fence_after(previous),
+            renewals: 0,
+            released: false,
+            confirmed: terms.confirmed_after(previous),
+            settled: terms.settled_after(previous),
+        };
+        let Some(record) = previous else {
+            return (unchanged_for >= delay).then(acquired);
         };
         let same_id = record.holder == *own_id;
         if same_id && record.incarnation == incarnation && !record.released {
+            if record.fence < terms.generation.counter_floor() {
+                return Some(acquired());
+            }
             let renewed = self.renewed_at.unwrap_or(Time::ZERO);
             return (now.saturating_since(renewed) >= period).then(|| FailoverLeaseRecord {
                 renewals: record.renewals + 1,
+                confirmed: terms.confirmed_after(previous),
+                settled: terms.settled_after(previous),
                 ..record.clone()
             });
         }
         // An unreleased record of another incarnation under this id belongs to a process that has ended.
         let available = (record.released && unchanged_for >= delay) || (same_id && !record.released);
         let expired = unchanged_for >= TAKEOVER_TIMEOUT + delay;
-        (available || expired).then(|| acquired_record(own_id, incarnation, record.fence + 1))
-    }
-}
-
-fn acquired_record(own_id: &Arc<str>, incarnation: Incarnation, fence: u64) -> FailoverLeaseRecord {
-    FailoverLeaseRecord {
-        holder: Arc::clone(own_id),
-        incarnation,
-        fence,
-        renewals: 0,
-        released: false,
+        (available || expired).then(acquired)
     }
 }
--- a/crates/gateway/src/control/failover_lease_loop.rs
+++ b/crates/gateway/src/control/failover_lease_loop.rs
@@ -5,7 +5,7 @@
 use super::records;
 use super::store_calls::StoreCallKind;
 use crate::view::rank_instances;
-use crate::{Connector, Discovery, Promoter, clock};
+use crate::{Connector, Discovery, Promoter, VIEW_LEASE, clock};
 use async_io::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,7 +28,7 @@
     C: Connector + 'static,
 {
     /// Acquires and renews the failover lease whenever that is due. Does nothing while this instance is stopping or
-    /// has no valid view lease.
+    /// has not found itself registered lately.
     pub(super) async fn maintain_failover_lease(self: Rc<Self>) {
         let own_id: Arc<str> = Arc::from(self.settings.instance.id.as_str());
         let incarnation = self.settings.instance.incarnation;
@@ -37,17 +37,21 @@
             let now = clock::now();
             let (due_write, precondition) = {
                 let state = self.state.borrow();
-                if state.stopping || !state.snapshot.view_lease_holds(now) {
+                if state.stopping || now >= state.registered_as_of + VIEW_LEASE {
                     continue;
                 }
                 let snapshot = &state.snapshot;
                 let ranked = rank_instances(&snapshot.members);
                 let rank = ranked.iter().position(|m| m.id.as_str() == &*own_id);
                 let rank = rank.unwrap_or(ranked.len());
-                let due_write =
-                    state
-                        .failover_lease
-                        .due_write(&own_id, incarnation, rank, LEASE_RENEWAL_PERIOD, now);
+                let due_write = state.failover_lease.due_write(
+                    &own_id,
+                    incarnation,
+                    rank,
+                    LEASE_RENEWAL_PERIOD,
+                    state.lease_terms(now),
+                    now,
+                );
                 let version = state.failover_lease.record().map(|(v, _)| *v);
                 (
                     due_write,
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -5,11 +5,12 @@
 
 use super::control_loop::{ControlThread, OutboundMessage};
 use super::failover::{choose_candidate, failover_reason, newest_term_and_point};
+use super::poll_health::RETRY_BACKOFF;
 use super::records;
 use super::server_commands::ServerCommand;
 use super::store_calls::StoreCallKind;
 use crate::{
-    Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionOrder,
+    ClusterSnapshot, Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionOrder,
     PromotionResponse, Role, clock,
 };
 use async_executor::LocalExecutor;
@@ -45,6 +46,10 @@
             if self.held_fence().is_none() {
                 continue;
             }
+            if !self.state.borrow().is_confirmed() {
+                self.rewrite_primary_records().await;
+                continue;
+            }
             self.prune_registry().await;
             for service in self.known_services() {
                 if !self
@@ -68,6 +73,39 @@
         }
     }
 
+    /// Writes the primary records again that a restored store may have lost. Their epochs exceed all that the store has
+    /// forgotten.
+    async fn rewrite_primary_records(&self) {
+        let now = clock::now();
+        let pending: Vec<_> = {
+            let state = self.state.borrow();
+            if !state.knows_primaries(now) {
+                return;
+            }
+            let floor = state.generation.current().counter_floor();
+            let primaries = state.snapshot.primaries.iter();
+            let old = primaries.filter(|(service, record)| {
+                record.epoch <= floor && !state.changing_services.contains(*service)
+            });
+            old.map(|(service, record)| {
+                let next = PrimaryRecord {
+                    epoch: floor + 1,
+                    leadership: leadership_after_restore(&state.snapshot, service, record),
+                };
+                (Arc::clone(service), next)
+            })
+            .collect()
+        };
+        for (service, record) in pending {
+            if let Err(e) = self.write_record(&service, record).await {
+                log::info!(service:% = service, error:% = e; "could not write a primary record again");
+                // The next read of the records shows the versions that the store has.
+                Timer::after(RETRY_BACKOFF).await;
+                self.read_records().await;
+            }
+        }
+    }
+
     fn held_fence(&self) -> Option<u64> {
         let own_entry = &self.settings.instance;
         let state = self.state.borrow();
@@ -97,6 +135,10 @@
         let Some(record) = record else {
             return self.record_initial_primary(service).await;
         };
+        if !self.state.borrow().has_settled(clock::now()) {
+            // Instances that the store has forgotten would not be waited for.
+            return Ok(());
+        }
         match record.leadership.clone() {
             Leadership::Serving { primary } => self.replace_if_needed(service, &record, primary).await,
             Leadership::Moving { from } => self.advance_moving(service, &record, from).await,
@@ -120,7 +162,12 @@
                 _ => return Ok(()),
             }
         };
-        self.write_record(service, PrimaryRecord::first(primary)).await
+        let floor = self.state.borrow().generation.current().counter_floor();
+        let record = PrimaryRecord {
+            epoch: floor + 1,
+            ..PrimaryRecord::first(primary)
+        };
+        self.write_record(service, record).await
     }
 
     /// Starts replacing the primary of a service if the failover policy says so and a candidate answers.
@@ -294,3 +341,29 @@
         Ok(())
     }
 }
+
+/// The state of a primary after a restore of the store. A recorded primary that is listed as a replica was replaced, if
+/// another server alone is listed as primary.
+fn leadership_after_restore(
+    snapshot: &ClusterSnapshot,
+    service: &Arc<str>,
+    record: &PrimaryRecord,
+) -> Leadership {
+    let Some(recorded) = record.serving() else {
+        return record.leadership.clone();
+    };
+    let servers = snapshot.servers.values().filter(|s| s.service == *service);
+    let mut listed = servers.filter(|s| s.role == Role::Primary);
+    match (listed.next(), listed.next()) {
+        (Some(only), None) if only.id != *recorded => {
+            log::warn!(
+                service:% = service, recorded:% = recorded, primary:% = only.id;
+                "the store has lost a change of primary"
+            );
+            Leadership::Serving {
+                primary: Arc::clone(&only.id),
+            }
+        }
+        _ => record.leadership.clone(),
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod state;
 mod store_calls;
 mod store_circuit_breaker;
+mod store_generation;
 mod store_reads;
 mod view_requests;
 
@@ -26,8 +27,9 @@
     CandidateStatus, FailoverReason, ReachabilityReports, ServerContacts, choose_candidate, failover_reason,
     heartbeat_period,
 };
-pub use failover_lease::{FailoverLease, FailoverLeaseRecord};
+pub use failover_lease::{FailoverLease, FailoverLeaseRecord, LeaseTerms};
 pub use instance_registry::{InstanceRegistry, VIEW_LEASE_MARGIN};
 pub use revision_proofs::{RevisionProof, RevisionProofs};
 pub use store_calls::{StoreCallKind, StoreCalls};
 pub use store_circuit_breaker::StoreCircuitBreaker;
+pub use store_generation::StoreGeneration;
--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -1,20 +1,20 @@
 //! The loop that polls the store, the application of what it reads, and the registration of this instance.
 
-use super::control_loop::ControlThread;
+use super::control_loop::{ControlThread, OutboundMessage};
 use super::poll_health::{PollHealth, RETRY_BACKOFF};
 use super::records::{self, PeerSecretRecord, Records};
 use super::state::ControlState;
 use super::store_calls::StoreCallKind;
 use crate::view::{ViewKey, ViewScope, ViewValue, domain_rank, fallback_age, max_store_backoff};
-use crate::{BackendServer, Configuration, Connector, Discovery, Entries, Promoter, clock};
+use crate::{BackendServer, Configuration, Connector, Discovery, Entries, PeerMessage, Promoter, clock};
 use async_io::Timer;
 use futures_lite::FutureExt;
 use rand::Rng;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{Time, Version};
-use wasabiyard_platform::{Platform, PlatformError, Precondition};
+use wasabiyard_model::{InstanceId, Time, Version};
+use wasabiyard_platform::{Generation, Platform, PlatformError, Precondition};
 
 /// Period of checking whether a read is due and whether the circuit breaker allows it.
 const DUE_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -139,15 +139,32 @@
         }
     }
 
-    pub(super) fn apply_configuration(&self, configuration: Option<Arc<Configuration>>, as_of: Time) {
+    /// Applies a configuration that was read at `revision`. After a restore of the store, it proves nothing until it can
+    /// be told that operators have written again what was lost.
+    pub(super) fn apply_configuration(
+        &self,
+        revision: u64,
+        configuration: Option<Arc<Configuration>>,
+        as_of: Time,
+    ) {
         let mut state = self.state.borrow_mut();
+        let known = state.snapshot.configuration.as_ref().map(|c| c.version);
+        let read = configuration.as_ref().map(|c| c.version);
+        let now = clock::now();
+        let is_current = Generation::of(revision) == state.generation.current();
+        let is_proof = (is_current && state.is_confirmed() && state.has_settled(now))
+            || read.is_some_and(|read| {
+                let generation = &state.generation;
+                generation.has_rewritten_configuration(revision, read, known, now)
+            });
         let snapshot = &mut state.snapshot;
-        let known = snapshot.configuration.as_ref().map(|c| c.version);
         if let Some(new) = configuration.filter(|new| known.is_none_or(|v| v < new.version)) {
             log::info!(version:% = new.version, routes = new.routes.len(); "configuration in force");
             snapshot.configuration = Some(new);
         }
-        snapshot.configuration_as_of = snapshot.configuration_as_of.max(as_of);
+        if is_proof {
+            snapshot.configuration_as_of = snapshot.configuration_as_of.max(as_of);
+        }
     }
 
     pub(super) fn apply_servers(&self, revision: u64, servers: Entries<BackendServer>, as_of: Time) {
@@ -199,7 +216,8 @@
     }
 
     /// Applies the records. They renew the view lease only if they contain the entry of this instance, because the
-    /// holder of the failover lease waits only for registered instances when it replaces a primary.
+    /// holder of the failover lease waits only for registered instances when it replaces a primary, and only if they are
+    /// confirmed.
     fn apply_records(&self, revision: u64, records: &Records, as_of: Time) -> bool {
         let mut state = self.state.borrow_mut();
         if revision >= state.view.revision(ViewScope::Records) {
@@ -214,13 +232,37 @@
         }
         let registered = self.is_registered(&state);
         if registered {
+            state.registered_as_of = state.registered_as_of.max(as_of);
+        }
+        if registered && state.is_confirmed() {
             state.snapshot.records_as_of = state.snapshot.records_as_of.max(as_of);
         }
         drop(state);
+        self.report_lost_primary_records();
         self.publish_snapshot();
         registered
     }
 
+    /// Tells the holder of the failover lease which primary records a restored store has lost.
+    fn report_lost_primary_records(&self) {
+        let (holder, lost) = {
+            let state = self.state.borrow();
+            if state.is_confirmed() {
+                return;
+            }
+            let holder = state.snapshot.failover_lease_holder.clone();
+            (holder, state.lost_primary_records())
+        };
+        let own_id = self.settings.instance.id.as_str();
+        let Some(holder) = holder.filter(|holder| **holder != *own_id) else {
+            return;
+        };
+        for (service, record) in lost {
+            let message = PeerMessage::PrimaryRecordChanged { service, record };
+            self.send_to_peers(OutboundMessage::Unicast(InstanceId::from(&*holder), message));
+        }
+    }
+
     /// Whether the view contains the live entry of this process.
     pub(super) fn is_registered(&self, state: &ControlState) -> bool {
         state.snapshot.members.contains(&self.settings.instance)
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,10 +1,11 @@
 //! State shared by the tasks of the control thread.
 
 use super::failover::ReachabilityReports;
-use super::failover_lease::FailoverLease;
+use super::failover_lease::{FailoverLease, LeaseTerms};
 use super::instance_registry::InstanceRegistry;
 use super::revision_proofs::RevisionProofs;
 use super::store_circuit_breaker::StoreCircuitBreaker;
+use super::store_generation::StoreGeneration;
 use super::view_requests::PendingViewRequests;
 use crate::view::{ViewKey, ViewScope, ViewTable, ViewValue};
 use crate::{BackendServer, ClusterSnapshot, PrimaryRecord};
@@ -27,6 +28,12 @@
     pub(super) changing_services: HashSet<Arc<str>>,
     /// What this instance has read from the store and received from relays, and serves to followers.
     pub(super) view: ViewTable,
+    /// Restores of the store.
+    pub(super) generation: StoreGeneration,
+    /// Whether this process held the failover lease through the last restore, and so knows all changes of primaries.
+    pub(super) held_lease_through_restore: bool,
+    /// Time as of which the records have shown the live entry of this process, whether they are confirmed or not.
+    pub(super) registered_as_of: Time,
     /// Revisions that linearizable calls of this instance have proved.
     pub(super) proofs: RevisionProofs,
     /// Reads of the store are linearizable before this time, because stale ones lag too far behind.
@@ -48,6 +55,9 @@
             reachability: ReachabilityReports::default(),
             changing_services: HashSet::new(),
             view: ViewTable::new(incarnation),
+            generation: StoreGeneration::default(),
+            held_lease_through_restore: false,
+            registered_as_of: Time::ZERO,
             proofs: RevisionProofs::default(),
             stale_reads_after: Time::ZERO,
             registration_revision: 0,
@@ -83,6 +93,7 @@
                 _ => log_mismatch(key),
             }
         }
+        self.observe_generation(now);
         self.failover_lease.on_read(lease, now);
         for (service, version, record) in primaries {
             let known = self.primary_versions.entry(Arc::clone(&service)).or_default();
@@ -121,6 +132,66 @@
         self.snapshot.domains_out = domains;
     }
 
+    /// Notices whether the records of the view come from a restored store.
+    pub(super) fn observe_generation(&mut self, now: Time) {
+        let revision = self.view.revision(ViewScope::Records);
+        if self.generation.on_read(revision, now) {
+            let generation = self.generation.current().restores();
+            log::warn!(generation; "records of a restored store; they prove nothing until they are confirmed");
+            self.held_lease_through_restore = self.failover_lease.is_exclusive(now);
+            self.primary_versions.clear();
+        }
+    }
+
+    /// Whether the holder of the failover lease has confirmed the records of the present generation.
+    pub(super) fn is_confirmed(&self) -> bool {
+        let lease = self.failover_lease.record();
+        lease.is_some_and(|(_, record)| record.confirms(self.generation.current()))
+    }
+
+    /// Whether every view lease from before the last restore has expired, so that the instance registry contains whoever
+    /// may use a primary.
+    pub(super) fn has_settled(&self, now: Time) -> bool {
+        let lease = self.failover_lease.record();
+        let recorded = lease.is_some_and(|(_, record)| record.has_settled(self.generation.current()));
+        recorded || self.generation.has_settled(now)
+    }
+
+    /// Whether this process knows the primaries at `now` in spite of a restore, so that it may write their records again.
+    pub(super) fn knows_primaries(&self, now: Time) -> bool {
+        self.held_lease_through_restore || self.generation.has_settled(now)
+    }
+
+    /// What this process may write into the failover lease at `now`. A generation is confirmed when all primary records
+    /// are written again. The first lease of a fleet follows on no earlier generation.
+    pub(super) fn lease_terms(&self, now: Time) -> LeaseTerms {
+        let generation = self.generation.current();
+        let is_first_lease = self.failover_lease.record().is_none() && !self.generation.has_seen_restore();
+        let floor = generation.counter_floor();
+        let rewritten = self.snapshot.primaries.values().all(|r| r.epoch > floor);
+        LeaseTerms {
+            generation,
+            may_confirm: is_first_lease || (self.knows_primaries(now) && rewritten),
+            has_settled: is_first_lease || self.generation.has_settled(now),
+        }
+    }
+
+    /// Primary records that this instance knows in a later epoch than the store.
+    pub(super) fn lost_primary_records(&self) -> Vec<(Arc<str>, PrimaryRecord)> {
+        let stored = |service: &Arc<str>| {
+            let key = ViewKey::Primary(Arc::clone(service));
+            let found = self.view.parts(ViewScope::Records).find(|(k, _, _)| **k == key);
+            found.map_or(0, |(_, _, value)| match value {
+                ViewValue::Primary(record) => record.epoch,
+                _ => 0,
+            })
+        };
+        let known = self.snapshot.primaries.iter();
+        let lost = known.filter(|(service, record)| record.epoch > stored(service));
+        lost.map(|(service, record)| (Arc::clone(service), record.clone()))
+            .collect()
+    }
+
     /// Copies the live instances and the holder of the failover lease into the snapshot.
     pub(super) fn refresh_snapshot(&mut self) {
         self.snapshot.failover_lease_holder = self.failover_lease.holder().map(Arc::clone);
--- a/crates/gateway/src/control/store_reads.rs
+++ b/crates/gateway/src/control/store_reads.rs
@@ -120,7 +120,7 @@
 
     async fn read_configuration_from_store(&self) -> Result<(), PlatformError> {
         let read = self.read_proved(|c| self.discovery.configuration(c)).await?;
-        self.apply_configuration(read.value, read.as_of);
+        self.apply_configuration(read.revision, read.value, read.as_of);
         Ok(())
     }
 
@@ -199,20 +199,20 @@
         let read = self.discovery.configuration(ReadConsistency::Stale).await;
         self.on_call_result(&read);
         let found = match read {
-            Ok(found) => found.value,
+            Ok(found) => found,
             Err(e) => {
                 log::info!(error:% = e; "could not read the newer configuration");
                 return;
             }
         };
-        if found.as_ref().is_some_and(|c| c.version >= version) {
-            self.apply_configuration(found, as_of);
+        if found.value.as_ref().is_some_and(|c| c.version >= version) {
+            self.apply_configuration(found.revision, found.value, as_of);
             return;
         }
         let read = self.read_linearizable(|c| self.discovery.configuration(c)).await;
         self.on_call_result(&read);
         match read {
-            Ok(read) => self.apply_configuration(read.value, read.as_of),
+            Ok(read) => self.apply_configuration(read.revision, read.value, read.as_of),
             Err(e) => log::info!(error:% = e; "could not read the newer configuration"),
         }
     }
--- a/crates/gateway/src/control/view_requests.rs
+++ b/crates/gateway/src/control/view_requests.rs
@@ -163,6 +163,7 @@
     fn apply_view(&self, changed: &[ViewScope], ages: ViewAges, sent_at: Time) {
         let now = clock::now();
         let mut state = self.state.borrow_mut();
+        state.observe_generation(now);
         for scope in changed {
             state.on_view_changed(*scope, sent_at - ages.records, now);
         }
@@ -170,10 +171,14 @@
         let registered = self.is_registered(&state);
         let snapshot = &mut state.snapshot;
         if registered {
+            // Also the relay counts only confirmed records in this age.
             snapshot.records_as_of = snapshot.records_as_of.max(sent_at - ages.records);
         }
         snapshot.servers_as_of = snapshot.servers_as_of.max(sent_at - ages.servers);
         snapshot.domains_as_of = snapshot.domains_as_of.max(sent_at - ages.domains);
+        if registered {
+            state.registered_as_of = state.registered_as_of.max(sent_at - ages.records);
+        }
     }
 
     /// Handles the configuration version that a relay had as of a time. Pages carry only the version, so a configuration
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use std::rc::Rc;
 use std::time::Duration;
-use wasabiyard_gateway::control::{FailoverLease, FailoverLeaseRecord};
+use wasabiyard_gateway::control::{FailoverLease, FailoverLeaseRecord, LeaseTerms};
 use wasabiyard_gateway::peer::{Envelope, ReleaseTargets};
 use wasabiyard_gateway::traffic::{Candidate, ReplicaLag, choose_server, required_point};
 use wasabiyard_gateway::{
@@ -85,6 +85,8 @@
         fence,
         renewals: 0,
         released: false,
+        confirmed: Some(0),
+        settled: Some(0),
     }
 }
 
@@ -98,7 +100,14 @@
     for millis in 0..10_000 {
         let now = START + Duration::from_millis(millis);
         let may_act = holder.held_fence("a", Incarnation(1), now).is_some();
-        let acquisition = other.due_write(&"b".into(), Incarnation(9), 0, RENEWAL_PERIOD, now);
+        let acquisition = other.due_write(
+            &"b".into(),
+            Incarnation(9),
+            0,
+            RENEWAL_PERIOD,
+            LeaseTerms::default(),
+            now,
+        );
         assert!(!(may_act && acquisition.is_some()), "both at {millis} ms");
         if let Some(record) = acquisition {
             assert_eq!(record.fence, 4);
@@ -107,7 +116,14 @@
     let late = START + Duration::from_secs(4);
     assert!(
         other
-            .due_write(&"b".into(), Incarnation(9), 0, RENEWAL_PERIOD, late)
+            .due_write(
+                &"b".into(),
+                Incarnation(9),
+                0,
+                RENEWAL_PERIOD,
+                LeaseTerms::default(),
+                late
+            )
             .is_some()
     );
 }
@@ -119,7 +135,14 @@
     let mut view = FailoverLease::default();
     view.on_read(Some((Version(7), lease_record("a", 3))), START);
     assert_eq!(view.held_fence("a", Incarnation(2), START), None);
-    let record = view.due_write(&"a".into(), Incarnation(2), 5, RENEWAL_PERIOD, START);
+    let record = view.due_write(
+        &"a".into(),
+        Incarnation(2),
+        5,
+        RENEWAL_PERIOD,
+        LeaseTerms::default(),
+        START,
+    );
     assert_eq!(record.map(|r| r.fence), Some(4));
 }
 
@@ -130,12 +153,26 @@
     let mut view = FailoverLease::default();
     view.on_read(Some((Version(8), record)), START);
     assert!(
-        view.due_write(&"b".into(), Incarnation(1), 0, RENEWAL_PERIOD, START)
-            .is_some()
+        view.due_write(
+            &"b".into(),
+            Incarnation(1),
+            0,
+            RENEWAL_PERIOD,
+            LeaseTerms::default(),
+            START
+        )
+        .is_some()
     );
     assert!(
-        view.due_write(&"c".into(), Incarnation(1), 1, RENEWAL_PERIOD, START)
-            .is_none()
+        view.due_write(
+            &"c".into(),
+            Incarnation(1),
+            1,
+            RENEWAL_PERIOD,
+            LeaseTerms::default(),
+            START
+        )
+        .is_none()
     );
 }
 
@@ -231,8 +268,15 @@
     view.on_read(Some((Version(7), lease_record("a", 3))), START);
     let late = START + Duration::from_millis(5_100);
     assert!(
-        view.due_write(&"z".into(), Incarnation(1), 86, RENEWAL_PERIOD, late)
-            .is_some()
+        view.due_write(
+            &"z".into(),
+            Incarnation(1),
+            86,
+            RENEWAL_PERIOD,
+            LeaseTerms::default(),
+            late
+        )
+        .is_some()
     );
 }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod documents;
 mod error;
+mod generation;
 mod http;
 mod http_client;
 mod http_connection;
@@ -17,6 +18,7 @@
     SlotState, keys,
 };
 pub use error::PlatformError;
+pub use generation::Generation;
 pub use http::HttpPlatform;
 pub use http_client::{HttpClient, HttpRequest};
 pub use http_connection::{HttpError, HttpResponse};
