Name view messages anew, since their revisions hold the generation

A follower of one build took the revisions of a relay of the other for its own: one that is behind looks as if it knew more, and its view would count as recent without being so. Found by reading, before a fleet of both builds ran; builds that do not know each other's messages read the store by themselves.

--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -15,6 +15,9 @@
 const MAC_BYTES: usize = 16;
 
 /// A message to another instance. Any message may be lost without notice to the sender.
+///
+/// View requests and responses hold revisions with the generation of the store. Builds without it use other names for
+/// them, so that neither takes the revisions of the other for its own.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// The sender is alive and reports which backend servers answer it and which do not. Sent to the holder of the
@@ -49,7 +52,6 @@
     /// Contact between the rate coordinator of an organisation and its substitute.
     CoordinatorLink(LinkMessage),
     /// Requests the view changes since `cursor` from a relay.
-    #[serde(rename = "ViewAsk")]
     ViewRequest {
         /// Chosen by the sender; the response repeats it.
         #[serde(rename = "question")]
@@ -59,7 +61,6 @@
         cursor: ViewCursor,
     },
     /// Response to [`Self::ViewRequest`].
-    #[serde(rename = "ViewAnswer")]
     ViewResponse {
         /// Id of the request.
         #[serde(rename = "question")]
