--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: it reads the store, registers this instance, and replaces primaries while this instance holds
 //! the failover lease.
 
+mod apply_reads;
 mod control_loop;
 mod failover;
 mod failover_lease;
@@ -10,6 +11,7 @@
 mod poll;
 mod poll_health;
 mod records;
+mod registration;
 mod release_wait;
 mod revision_proofs;
 mod server_commands;
--- a/crates/gateway/src/control/poll.rs
+++ b/crates/gateway/src/control/poll.rs
@@ -1,20 +1,16 @@
-//! The loop that polls the store, the application of what it reads, and the registration of this instance.
+//! The loop that polls the store: when a read is due, and how long the pauses between reads are.
 
-use super::control_loop::{ControlThread, OutboundMessage};
-use super::poll_health::{PollHealth, RETRY_BACKOFF};
-use super::records::{self, PeerSecretRecord, Records};
+use super::control_loop::ControlThread;
+use super::poll_health::PollHealth;
 use super::state::ControlState;
-use super::store_calls::StoreCallKind;
-use crate::view::{ViewKey, ViewScope, ViewValue, domain_rank, fallback_age, max_store_backoff};
-use crate::{BackendServer, Configuration, Connector, Discovery, Entries, PeerMessage, Promoter, clock};
+use crate::view::{ViewScope, domain_rank, fallback_age, max_store_backoff};
+use crate::{Connector, Discovery, Promoter, clock};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use rand::Rng;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{InstanceId, Time, Version};
-use wasabiyard_platform::{Generation, Platform, PlatformError, Precondition};
+use wasabiyard_model::Time;
+use wasabiyard_platform::{Platform, PlatformError};
 
 /// Period of checking whether a read is due and whether the circuit breaker allows it.
 const DUE_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -31,8 +27,6 @@
 /// Pause between a renewal of the failover lease and the reads that it proves, which covers the usual lag of the store's
 /// replicas.
 const RENEWAL_SETTLING_TIME: Duration = Duration::from_millis(150);
-/// Longest random pause before an instance creates the peer secret. All instances of a new fleet start at once.
-const SECRET_STAGGER: Duration = Duration::from_millis(400);
 
 impl<P, D, M, C> ControlThread<P, D, M, C>
 where
@@ -138,210 +132,4 @@
             Err(_) => breaker.on_failure(clock::now()),
         }
     }
-
-    /// Applies a configuration that was read at `revision`. After a restore of the store, it proves nothing until it can
-    /// be told that operators have written again what was lost.
-    pub(super) fn apply_configuration(
-        &self,
-        revision: u64,
-        configuration: Option<Arc<Configuration>>,
-        as_of: Time,
-    ) {
-        let mut state = self.state.borrow_mut();
-        let known = state.snapshot.configuration.as_ref().map(|c| c.version);
-        let read = configuration.as_ref().map(|c| c.version);
-        let now = clock::now();
-        let is_current = Generation::of(revision) == state.generation.current();
-        let is_proof = (is_current && state.is_confirmed() && state.has_settled(now))
-            || read.is_some_and(|read| {
-                let generation = &state.generation;
-                generation.has_rewritten_configuration(revision, read, known, now)
-            });
-        let snapshot = &mut state.snapshot;
-        if let Some(new) = configuration.filter(|new| known.is_none_or(|v| v < new.version)) {
-            log::info!(version:% = new.version, routes = new.routes.len(); "configuration in force");
-            snapshot.configuration = Some(new);
-        }
-        if is_proof {
-            snapshot.configuration_as_of = snapshot.configuration_as_of.max(as_of);
-        }
-    }
-
-    pub(super) fn apply_servers(&self, revision: u64, servers: Entries<BackendServer>, as_of: Time) {
-        let parts = servers.into_iter().map(|(version, s)| {
-            (
-                version.0,
-                ViewKey::Server(Arc::clone(&s.id)),
-                ViewValue::Server(s),
-            )
-        });
-        let parts = parts.collect();
-        let mut state = self.state.borrow_mut();
-        if state.view.replace(ViewScope::Servers, revision, parts) {
-            state.on_view_changed(ViewScope::Servers, as_of, clock::now());
-        }
-        state.snapshot.servers_as_of = state.snapshot.servers_as_of.max(as_of);
-    }
-
-    pub(super) fn apply_domains(&self, revision: u64, domains: Entries<Arc<str>>, as_of: Time) {
-        let parts = domains
-            .into_iter()
-            .map(|(version, name)| (version.0, ViewKey::DomainOut(name), ViewValue::DomainOut));
-        let parts = parts.collect();
-        let mut state = self.state.borrow_mut();
-        if state.view.replace(ViewScope::Domains, revision, parts) {
-            state.on_view_changed(ViewScope::Domains, as_of, clock::now());
-        }
-        state.snapshot.domains_as_of = state.snapshot.domains_as_of.max(as_of);
-    }
-
-    /// Applies records that reflect `revision`, then creates the peer secret and registers this instance if either is
-    /// missing. Returns whether the records contained the current entry of this instance.
-    pub(super) async fn process_records(&self, revision: u64, records: &Records, as_of: Time) -> bool {
-        let has_secret = records.secret_record.is_some();
-        let registered = self.apply_records(revision, records, as_of);
-        if !has_secret {
-            self.create_peer_secret().await;
-        }
-        if !registered && self.registration_is_due(revision) {
-            self.register_instance().await;
-        }
-        registered && has_secret
-    }
-
-    /// Whether records that reflect `revision` and lack the entry of this instance call for its registration.
-    fn registration_is_due(&self, revision: u64) -> bool {
-        let state = self.state.borrow();
-        !state.stopping && revision >= state.registration_revision
-    }
-
-    /// Applies the records. They renew the view lease only if they contain the entry of this instance, because the
-    /// holder of the failover lease waits only for registered instances when it replaces a primary, and only if they are
-    /// confirmed.
-    fn apply_records(&self, revision: u64, records: &Records, as_of: Time) -> bool {
-        let mut state = self.state.borrow_mut();
-        if revision >= state.view.revision(ViewScope::Records) {
-            state
-                .view
-                .replace(ViewScope::Records, revision, record_parts(records));
-            // Also when nothing has changed: the registry waits for versions and for reads after a moment.
-            state.on_view_changed(ViewScope::Records, as_of, clock::now());
-        }
-        if let Some(secret) = &records.secret_record {
-            state.snapshot.peer_secret = Some(Arc::from(secret.key.as_bytes()));
-        }
-        let registered = self.is_registered(&state);
-        if registered {
-            state.registered_as_of = state.registered_as_of.max(as_of);
-        }
-        if registered && state.is_confirmed() {
-            state.snapshot.records_as_of = state.snapshot.records_as_of.max(as_of);
-        }
-        drop(state);
-        self.report_lost_primary_records();
-        self.publish_snapshot();
-        registered
-    }
-
-    /// Tells the holder of the failover lease which primary records a restored store has lost.
-    fn report_lost_primary_records(&self) {
-        let (holder, lost) = {
-            let state = self.state.borrow();
-            if state.is_confirmed() {
-                return;
-            }
-            let holder = state.snapshot.failover_lease_holder.clone();
-            (holder, state.lost_primary_records())
-        };
-        let own_id = self.settings.instance.id.as_str();
-        let Some(holder) = holder.filter(|holder| **holder != *own_id) else {
-            return;
-        };
-        for (service, record) in lost {
-            let message = PeerMessage::PrimaryRecordChanged { service, record };
-            self.send_to_peers(OutboundMessage::Unicast(InstanceId::from(&*holder), message));
-        }
-    }
-
-    /// Whether the view contains the live entry of this process.
-    pub(super) fn is_registered(&self, state: &ControlState) -> bool {
-        state.snapshot.members.contains(&self.settings.instance)
-    }
-
-    async fn register_instance(&self) {
-        let own_entry = &self.settings.instance;
-        let key = records::instance_key(own_entry.id.as_str());
-        let version = self.state.borrow().registry.version(&own_entry.id);
-        let precondition = version.map_or(Precondition::Absent, Precondition::Version);
-        let value = serde_json::json!(own_entry);
-        self.store_calls.on_call(StoreCallKind::Registration);
-        let sent_at = clock::now();
-        match self.platform.put(&key, precondition, &value).await {
-            Ok(version) => {
-                log::info!(version:% = version; "registered");
-                let mut state = self.state.borrow_mut();
-                state.registration_revision = version.0;
-                state.proofs.add(version.0, sent_at);
-            }
-            Err(PlatformError::Conflict { found, .. }) if found != Version(0) => {
-                // An earlier process with this id left its entry; the next attempt replaces that version.
-                self.state.borrow_mut().registry.on_conflict(&own_entry.id, found);
-            }
-            Err(e) => {
-                log::info!(error:% = e; "could not register this instance");
-                Timer::after(RETRY_BACKOFF).await;
-            }
-        }
-    }
-
-    /// Creates the key that authenticates messages between instances, unless another instance does so in a random
-    /// pause. The first one that writes it wins; the others read that key with their next list.
-    async fn create_peer_secret(&self) {
-        Timer::after(SECRET_STAGGER.mul_f64(rand::random::<f64>())).await;
-        self.store_calls.on_call(StoreCallKind::StaleRead);
-        match self.platform.list_stale(records::KEY_PREFIX).await {
-            Ok(listed) if Records::from_objects(&listed.objects).secret_record.is_some() => return,
-            Ok(_) => {}
-            Err(e) => {
-                log::info!(error:% = e; "could not look for the peer secret");
-                return;
-            }
-        }
-        let bytes: [u8; 16] = rand::rng().random();
-        let key = format!("{:032x}", u128::from_le_bytes(bytes));
-        let value = serde_json::json!(PeerSecretRecord { key: key.into() });
-        self.store_calls.on_call(StoreCallKind::Registration);
-        if let Err(e) = self
-            .platform
-            .put(&records::peer_secret_key(), Precondition::Absent, &value)
-            .await
-        {
-            log::info!(error:% = e; "could not create the peer secret");
-        }
-    }
-}
-
-fn record_parts(records: &Records) -> Vec<(u64, ViewKey, ViewValue)> {
-    let members = records.instances.iter().map(|(name, (version, m))| {
-        (
-            version.0,
-            ViewKey::Member(Arc::clone(name)),
-            ViewValue::Member(m.clone()),
-        )
-    });
-    let primaries = records.primaries.iter().map(|(service, (version, r))| {
-        (
-            version.0,
-            ViewKey::Primary(Arc::clone(service)),
-            ViewValue::Primary(r.clone()),
-        )
-    });
-    let lease = records.failover_lease.iter().map(|(version, r)| {
-        (
-            version.0,
-            ViewKey::FailoverLease,
-            ViewValue::FailoverLease(r.clone()),
-        )
-    });
-    members.chain(primaries).chain(lease).collect()
 }
