--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -87,7 +87,7 @@
         let end = Instant::now() + READY_TIMEOUT;
         while !fleet.nodes.iter().all(Node::is_ready) {
             if Instant::now() >= end {
-                fleet.end();
+                fleet.record_logs(|_| true);
                 return Err("the instances did not become ready".to_owned());
             }
             thread::sleep(Duration::from_millis(100));
@@ -175,30 +175,32 @@
         }
     }
 
+    /// Copies lines of the instances' logs into the record.
+    fn record_logs(&self, wanted: fn(&str) -> bool) {
+        for (number, node) in self.nodes.iter().enumerate() {
+            let log = std::fs::read_to_string(self.dir.join(format!("node-{number}.log"))).unwrap_or_default();
+            for line in log.lines().filter(|l| wanted(l)) {
+                self.record.line(&format!("log {} {line}", node.name));
+            }
+        }
+    }
+
     /// Stops the requesters and the processes. The logs of the instances go into the record.
     pub fn end(mut self) {
         self.stop.store(true, Ordering::Relaxed);
         for node in &mut self.nodes {
             node.kill();
         }
-        for number in 0..self.nodes.len() {
-            let log = std::fs::read_to_string(self.dir.join(format!("node-{number}.log"))).unwrap_or_default();
-            let control = log
-                .lines()
-                .filter(|l| !l.contains("tried again") && !l.contains("refused"));
-            for line in control.filter(|l| is_decision(l)) {
-                self.record.line(&format!("log {} {line}", self.nodes[number].name));
-            }
-        }
+        self.record_logs(is_decision);
         let _removed = std::fs::remove_dir_all(&self.dir);
     }
 }
 
 /// Whether a line of an instance's log tells of a primary or of the failover lease.
 fn is_decision(line: &str) -> bool {
-    ["primary", "promotion", "successor", "failover lease", "candidate"]
-        .iter()
-        .any(|w| line.contains(w))
+    let words = ["primary", "promotion", "successor", "failover lease", "candidate"];
+    let is_statement = line.contains("tried again") || line.contains("refused") || line.contains("not served");
+    !is_statement && words.iter().any(|w| line.contains(w))
 }
 
 impl Drop for Fleet {
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -7,6 +7,9 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// First port that is tried. The system takes the ports of outgoing connections from a higher range, so a connection that is
+/// tried before an instance listens does not take its port.
+const FIRST_PORT: u16 = 8400;
 /// Port of the metrics page in `deploy/node.ini`.
 const METRICS_PORT: u16 = 9464;
 
@@ -34,9 +37,8 @@
     ) -> std::io::Result<Self> {
         let name = format!("frontend-{zone}-{number}");
         let ip = free_address(number)?;
-        // Both are held until both are known, so that they differ.
-        let (callers, readiness) = (TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?);
-        let (callers, readiness) = (callers.local_addr()?, readiness.local_addr()?);
+        let callers = SocketAddr::new(ip, free_port(ip, FIRST_PORT)?);
+        let readiness = SocketAddr::new(ip, free_port(ip, callers.port() + 1)?);
         let peers = UdpSocket::bind((ip, 0))?.local_addr()?.port();
         let mut text = fs::read_to_string(root.join("deploy/node.ini"))?;
         for (field, value) in [
@@ -131,3 +133,15 @@
     }
     Err(last.unwrap())
 }
+
+/// The first free port from `first` on.
+fn free_port(ip: IpAddr, first: u16) -> std::io::Result<u16> {
+    let mut tried = TcpListener::bind((ip, first));
+    for port in first + 1..first + 500 {
+        if tried.is_ok() {
+            break;
+        }
+        tried = TcpListener::bind((ip, port));
+    }
+    Ok(tried?.local_addr()?.port())
+}
