--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -14,6 +14,7 @@
 mod store;
 
 mod lost_commits;
+mod private_route;
 mod two_primaries;
 
 use record::Record;
@@ -49,6 +50,7 @@
     let outcome = match case.as_str() {
         "lost-commits" => lost_commits::run(Path::new(root), &record, trouble, false),
         "lost-commits-draining" => lost_commits::run(Path::new(root), &record, trouble, true),
+        "private-route" => private_route::run(Path::new(root), &record, trouble),
         "two-primaries" => two_primaries::run(Path::new(root), &record, trouble),
         _ => Outcome::NotRun(format!("no case {case}")),
     };
