--- a/review/standins/src/database.rs
+++ b/review/standins/src/database.rs
@@ -252,6 +252,15 @@
         self.changed.notify_all();
     }
 
+    /// Starts a database again that has crashed. It comes back with its log, as a replica if another one was promoted.
+    pub fn restart(&self, number: usize) {
+        let mut state = self.lock();
+        let newest = state.databases.iter().map(|d| d.term).max().unwrap_or(0);
+        let database = &mut state.databases[number];
+        database.running = true;
+        database.primary &= database.term == newest;
+    }
+
     /// Log positions, connections and refusals of all databases, for the record.
     pub fn describe(&self) -> String {
         let state = self.lock();
--- a/review/standins/src/lost_commits.rs
+++ b/review/standins/src/lost_commits.rs
@@ -27,6 +27,8 @@
 /// Time from the start of that until the primary crashes.
 const CRASH_AFTER: Duration = Duration::from_secs(4);
 
+/// Time for which the primary is down: `srv_crash` in the site file.
+const DOWN_TIME: Duration = Duration::from_secs(7);
 /// Requests and sessions of the deployment of SYSTEM.md that fall on one of its three services.
 const USUAL_LOAD: f64 = 1.0;
 /// The same at half the capacity of the three databases.
@@ -81,6 +83,7 @@
         group.crash(0);
         record.note(&format!("disruption: the primary {} crashes", group.id(0)));
     }
+    let crashed_at = Instant::now();
     for _ in 0..25 {
         thread::sleep(Duration::from_millis(100));
         record.line(&group.describe());
@@ -90,7 +93,12 @@
         group.set_receives(2, true);
         record.note(&format!("disruption over: {} receives again", group.id(2)));
     }
-    thread::sleep(Duration::from_secs(6));
+    thread::sleep(DOWN_TIME.saturating_sub(crashed_at.elapsed()));
+    if trouble {
+        group.restart(0);
+        record.note(&format!("disruption over: {} runs again", group.id(0)));
+    }
+    thread::sleep(Duration::from_secs(2));
     record.note(&group.describe());
     let outcome = check(&fleet, record, trouble);
     fleet.end();
--- a/review/standins/src/private_route.rs
+++ b/review/standins/src/private_route.rs
@@ -63,14 +63,21 @@
         let Ok(answer) = session.query(&format!("gate-before-{number}"), "READ 1") else {
             return Outcome::NotRun("no answer on the open route".to_owned());
         };
-        record.note(&format!("{}: a session without a key reads: {:?}", node.name, answer.result));
+        record.note(&format!(
+            "{}: a session without a key reads: {:?}",
+            node.name, answer.result
+        ));
         sessions.push(session);
     }
     if trouble {
-        fleet.store.write("config", "main", &removed.replace("\"version\":7", "\"version\":8"));
+        fleet
+            .store
+            .write("config", "main", &removed.replace("\"version\":7", "\"version\":8"));
         record.note("operator: version 8, without the route, is acknowledged");
         thread::sleep(VERSION_INTERVAL);
-        fleet.store.write("config", "main", &private.replace("\"version\":7", "\"version\":9"));
+        fleet
+            .store
+            .write("config", "main", &private.replace("\"version\":7", "\"version\":9"));
         record.note("operator: version 9, with the route again, not public, is acknowledged");
     }
     thread::sleep(CONFIG_APPLY * 2);
--- a/review/standins/src/two_primaries.rs
+++ b/review/standins/src/two_primaries.rs
@@ -29,6 +29,8 @@
 const MAX_CUT_TIME: Duration = Duration::from_secs(5);
 /// Time from the end of the cut until the new primary crashes. The former primary steps down a second after the cut.
 const CRASH_AFTER: Duration = Duration::from_millis(300);
+/// Time for which that database is down: `srv_crash` in the site file.
+const DOWN_TIME: Duration = Duration::from_secs(7);
 /// `thaw_ms` of the rules: time after a disruption of a link for which its writes don't count.
 const THAW: Duration = Duration::from_millis(300);
 
@@ -79,12 +81,18 @@
         group.crash(1);
         record.note(&format!("disruption: the primary {} crashes", group.id(1)));
     }
+    let crashed_at = Instant::now();
     thread::sleep(DEAF_TIME.saturating_sub(CUT_AFTER + cut_at.elapsed()));
     if trouble {
         group.set_receives(2, true);
         record.note(&format!("disruption over: {} receives again", group.id(2)));
     }
-    thread::sleep(Duration::from_secs(8));
+    thread::sleep(DOWN_TIME.saturating_sub(crashed_at.elapsed()));
+    if trouble {
+        group.restart(1);
+        record.note(&format!("disruption over: {} runs again", group.id(1)));
+    }
+    thread::sleep(Duration::from_secs(3));
     record.note(&group.describe());
     let outcome = check(&fleet, record, trouble, healed);
     fleet.end();
