--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -133,6 +133,8 @@
     /// Mean time between two operations.
     pub interval: Duration,
     pub time_limit: Duration,
+    /// When the requester leaves, if it does so before the end of the run.
+    pub until: Option<Instant>,
     pub seed: u64,
 }
 
@@ -142,7 +144,7 @@
         let mut session = None;
         let mut number = 0;
         thread::sleep(self.interval.mul_f64(self.fraction()));
-        while !stop.load(Ordering::Relaxed) {
+        while !stop.load(Ordering::Relaxed) && self.until.is_none_or(|until| Instant::now() < until) {
             number += 1;
             let started = Instant::now();
             let shape = self.next() % 100;
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -148,7 +148,7 @@
         });
     }
 
-    /// Starts requesters: `count` sessions of a kind that run `per_second` operations together.
+    /// Starts requesters: `count` sessions of a kind that run `per_second` operations together, until the end of the run.
     pub fn spawn_requesters(
         &self,
         kind: Kind,
@@ -157,17 +157,33 @@
         count: usize,
         per_second: f64,
         time_limit: Duration,
+    ) {
+        self.spawn_requesters_until(None, kind, host, key, count, per_second, time_limit);
+    }
+
+    /// The same, until a time.
+    #[expect(clippy::too_many_arguments, reason = "each names a figure of the load")]
+    pub fn spawn_requesters_until(
+        &self,
+        until: Option<Instant>,
+        kind: Kind,
+        host: &str,
+        key: &str,
+        count: usize,
+        per_second: f64,
+        time_limit: Duration,
     ) {
         let nodes: Vec<_> = self.nodes.iter().map(|n| n.callers).collect();
         for number in 0..count {
             let requester = Requester {
-                name: format!("{host}-{number}"),
+                name: format!("{host}-{}{number}", if until.is_some() { "b" } else { "" }),
                 host: host.to_owned(),
                 key: key.to_owned(),
                 kind,
                 nodes: nodes.clone(),
                 interval: Duration::from_secs_f64(count as f64 / per_second),
                 time_limit,
+                until,
                 seed: (number as u64 + 1) * 7919 + host.len() as u64,
             };
             let (seen, record, stop) = (self.seen.clone(), self.record.clone(), Arc::clone(&self.stop));
--- a/review/standins/src/lost_commits.rs
+++ b/review/standins/src/lost_commits.rs
@@ -29,10 +29,12 @@
 
 /// Time for which the primary is down: `srv_crash` in the site file.
 const DOWN_TIME: Duration = Duration::from_secs(7);
-/// Requests and sessions of the deployment of SYSTEM.md that fall on one of its three services.
-const USUAL_LOAD: f64 = 1.0;
-/// The same at half the capacity of the three databases.
-const HALF_CAPACITY_LOAD: f64 = 1.5;
+/// More load during a burst, as a part of the usual one: `burst` in the site file, x 1.7.
+const BURST_LOAD: f64 = 0.7;
+/// Length of the burst: `burst` in the site file.
+const BURST_TIME: Duration = Duration::from_secs(3);
+/// Time from the start of the burst until the primary crashes.
+const BURST_BEFORE_CRASH: Duration = Duration::from_millis(1_800);
 
 pub fn run(root: &Path, record: &Record, trouble: bool, draining: bool) -> Outcome {
     let group = match Group::open("members", &ZONES[..3], SIZES, record.clone()) {
@@ -49,21 +51,8 @@
         Ok(fleet) => fleet,
         Err(e) => return Outcome::NotRun(e),
     };
-    let load = if draining { USUAL_LOAD } else { HALF_CAPACITY_LOAD };
-    let spawn = |kind, host, sessions: f64, per_second: f64, time_limit| {
-        let sessions = (sessions * load) as usize;
-        fleet.spawn_requesters(
-            kind,
-            host,
-            "k-zoo",
-            sessions,
-            per_second * load,
-            Duration::from_secs(time_limit),
-        );
-    };
-    spawn(Kind::Primary, "renew", 18.0, 18.0, 1);
-    spawn(Kind::Bounded, "gate", 18.0, 18.0, 4);
-    spawn(Kind::Own, "gift", 61.0, 84.0, 1);
+    // What falls on one of the three services of the deployment of SYSTEM.md.
+    spawn_load(&fleet, 1.0, None);
     thread::sleep(Duration::from_secs(8));
     record.note(&group.describe());
     if trouble && draining {
@@ -77,7 +66,12 @@
         group.set_receives(2, false);
         record.note(&format!("disruption: {} receives nothing", group.id(2)));
     }
-    thread::sleep(CRASH_AFTER);
+    thread::sleep(CRASH_AFTER - BURST_BEFORE_CRASH);
+    if trouble && !draining {
+        spawn_load(&fleet, BURST_LOAD, Some(Instant::now() + BURST_TIME));
+        record.note(&format!("disruption: a burst, for {} s", BURST_TIME.as_secs()));
+    }
+    thread::sleep(BURST_BEFORE_CRASH);
     record.note(&group.describe());
     if trouble {
         group.crash(0);
@@ -105,6 +99,18 @@
     outcome
 }
 
+/// Starts requesters with a part of the usual load.
+fn spawn_load(fleet: &Fleet, part: f64, until: Option<Instant>) {
+    let spawn = |kind, host, sessions: f64, per_second: f64, time_limit| {
+        let sessions = (sessions * part).round() as usize;
+        let time_limit = Duration::from_secs(time_limit);
+        fleet.spawn_requesters_until(until, kind, host, "k-zoo", sessions, per_second * part, time_limit);
+    };
+    spawn(Kind::Primary, "renew", 18.0, 18.0, 1);
+    spawn(Kind::Bounded, "gate", 18.0, 18.0, 4);
+    spawn(Kind::Own, "gift", 61.0, 84.0, 1);
+}
+
 /// Whether each commit that was acknowledged before a database began to lead is in its log.
 fn check(fleet: &Fleet, record: &Record, trouble: bool) -> Outcome {
     let (served, given_up) = fleet.seen.served();
