--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -115,6 +115,14 @@
     pub const fn is_statement(&self) -> bool {
         matches!(self, Self::Forward { .. } | Self::Execute { .. })
     }
+
+    /// The caller's id of the statement; `None` for a command of the instance.
+    pub const fn request_id(&self) -> Option<&str> {
+        match self {
+            Self::Forward { id, .. } | Self::Execute { id, .. } => Some(id),
+            _ => None,
+        }
+    }
 }
 
 /// A connection to a backend server.
@@ -128,8 +136,19 @@
     /// Demotes a primary of a term lower than `term` to a replica, and returns its state afterwards as `status` does.
     fn demote(&mut self, term: Term) -> impl Future<Output = Result<Option<ServerStatus>, ConnectionError>>;
 
-    /// Whether the peer has neither closed the connection nor sent unsolicited data, so that it may be reused.
-    fn is_reusable(&self) -> bool;
+    /// What has happened on the connection since the last answer was read.
+    fn idle_state(&self) -> IdleState;
+}
+
+/// State of a connection on which no answer is awaited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdleState {
+    /// Nothing has arrived.
+    Quiet,
+    /// Bytes have arrived that belong to no command.
+    Unread,
+    /// The other end has closed the connection, or it has failed.
+    Closed,
 }
 
 /// Parameters of a connection attempt.
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -157,6 +157,63 @@
     );
 }
 
+/// Log event of answers that belong to no command of their connection.
+#[derive(Debug, Clone, Copy)]
+pub struct StrayAnswers<'a> {
+    /// The caller's id of the statement that waited for its answer, `-` if there was none.
+    pub request: &'a str,
+    /// Service that the connection belongs to.
+    pub service: &'a str,
+    /// Backend server that sent them.
+    pub server: &'a str,
+    /// How they were recognised, also a metric label.
+    pub cause: &'static str,
+    /// Number of answers, or of times that unread bytes were found.
+    pub count: u32,
+}
+
+/// Logs stray answers within the line limit.
+pub fn log_stray_answers(event: &StrayAnswers<'_>) {
+    if !try_acquire_line(clock::now()) {
+        return;
+    }
+    log::info!(
+        request = event.request,
+        service = event.service,
+        server = event.server,
+        cause = event.cause,
+        count = event.count;
+        "answers of a backend server belong to no command"
+    );
+}
+
+/// Log event of a caller's message that violates the protocol.
+#[derive(Debug, Clone, Copy)]
+pub struct Malformed<'a> {
+    /// Organisation of the caller.
+    pub organisation: &'a str,
+    /// Name of the route that the caller logged in to.
+    pub database: &'a str,
+    /// Number of requests that the session had sent before.
+    pub requests: u64,
+    /// What is wrong with the message.
+    pub detail: &'static str,
+}
+
+/// Logs a malformed message within the line limit. The message itself is left out, since it may hold a key.
+pub fn log_malformed(event: &Malformed<'_>) {
+    if !try_acquire_line(clock::now()) {
+        return;
+    }
+    log::info!(
+        organisation = event.organisation,
+        database = event.database,
+        requests = event.requests,
+        detail = event.detail;
+        "malformed message of a caller"
+    );
+}
+
 /// Logs a statement that was answered with an error, within the line limit.
 pub fn log_refusal(event: &Refused<'_>) {
     if !try_acquire_line(clock::now()) {
--- a/crates/gateway/src/gateway/callers.rs
+++ b/crates/gateway/src/gateway/callers.rs
@@ -46,6 +46,9 @@
         };
         link.accept_login().await?;
         let result = self.serve_requests(&mut link, &mut session).await;
+        if let Err(ConnectionError::Unreadable(detail)) = result {
+            session.on_malformed_message(detail);
+        }
         session.close();
         result
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,8 +36,8 @@
 pub use cluster_snapshot::{ClusterSnapshot, NEW_WORK_MARGIN, PrimaryView, VIEW_LEASE};
 pub use configuration::{Configuration, Freshness, OrganisationRule, RouteRule, ServiceRule};
 pub use connection::{
-    CallerLink, Command, ConnectOutcome, ConnectionError, Connector, Login, ServerConnection, ServerStatus,
-    Target,
+    CallerLink, Command, ConnectOutcome, ConnectionError, Connector, IdleState, Login, ServerConnection,
+    ServerStatus, Target,
 };
 pub use connection_state::{Adjustment, ConnectionState, SessionValues};
 pub use discovery::{
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,25 @@
     Failed,
 }
 
+/// Value of the label `cause` of answers that belong to no command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StrayCause {
+    /// Bytes had arrived before the next command was sent.
+    Unread,
+    /// The answer was given before, or does not fit the command.
+    Repeated,
+}
+
+impl StrayCause {
+    /// Value of the key `cause` in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unread => "unread",
+            Self::Repeated => "repeated",
+        }
+    }
+}
+
 /// Metric instruments of the traffic thread.
 pub struct Metrics {
     registry: Registry,
@@ -77,6 +96,8 @@
     connects: Counter<u64>,
     retries: Counter<u64>,
     logins_refused: Counter<u64>,
+    stray_answers: Counter<u64>,
+    malformed_messages: Counter<u64>,
     sessions: Arc<AtomicUsize>,
     store_calls: Arc<StoreCalls>,
 }
@@ -154,6 +175,14 @@
                 "Statements tried again by the instance, by service and cause",
             ),
             logins_refused: counter("wasabiyard_logins_refused", "Logins refused, by error"),
+            stray_answers: counter(
+                "wasabiyard_stray_answers",
+                "Answers of backend servers that belong to no command, by service and cause",
+            ),
+            malformed_messages: counter(
+                "wasabiyard_malformed_messages",
+                "Messages of callers that violate the protocol, by service",
+            ),
             sessions,
             store_calls,
             registry,
@@ -209,6 +238,19 @@
             .add(1, &[KeyValue::new("error", error.name())]);
     }
 
+    /// Records answers of a backend server that belong to no command.
+    pub fn on_stray_answers(&self, service: &str, cause: StrayCause, count: u32) {
+        let service = KeyValue::new("service", service.to_owned());
+        let cause = KeyValue::new("cause", cause.name());
+        self.stray_answers.add(u64::from(count), &[service, cause]);
+    }
+
+    /// Records a message of a caller that violates the protocol.
+    pub fn on_malformed_message(&self, service: &str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.malformed_messages.add(1, &[service]);
+    }
+
     /// Records a new caller connection.
     pub fn on_session_opened(&self) {
         self.sessions.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -1,10 +1,12 @@
 //! Exclusive use of a pooled backend connection by one statement or transaction.
 
+use super::ordered_connection::OrderedConnection;
 use super::pool::Pool;
 use crate::connection_state::{ConnectionState, MAX_PREPARED_STATEMENTS, SessionValues};
+use crate::metrics::StrayCause;
 use crate::{
-    Answer, CallerError, Command, ConnectionError, Connector, PreparedStatement, ServerConnection,
-    TransactionStatus, clock,
+    Answer, CallerError, Command, ConnectionError, Connector, IdleState, PreparedStatement,
+    TransactionStatus, clock, event_log,
 };
 use async_channel::Receiver;
 use async_io::Timer;
@@ -43,7 +45,7 @@
     /// Closed when the lease is revoked; carries no messages.
     pub(super) revoked: Receiver<()>,
     /// `None` while a command runs, and after a failure or [`Self::discard`].
-    pub(super) conn: Option<C::Connection>,
+    pub(super) conn: Option<OrderedConnection<C::Connection>>,
     /// Session values and prepared statements that the connection has.
     pub(super) connection_state: ConnectionState,
     /// When the connection was leased, for the measurement of the service time.
@@ -59,12 +61,15 @@
     /// Runs a command within `timeout`. Without an answer that leaves the connection usable, it is closed.
     pub(super) async fn run(&mut self, cmd: Command<'_>, timeout: Duration) -> Result<Answer, LeaseError> {
         let sent_at = clock::now();
-        let is_statement = cmd.is_statement();
+        let in_transaction = self.in_transaction;
         let Some(mut conn) = self.conn.take() else {
             return Err(LeaseError::Connection(ConnectionError::Closed));
         };
         let answer = {
-            let run = async { conn.run(cmd).await.map_err(LeaseError::Connection) };
+            let run = async {
+                let answer = conn.run(cmd, in_transaction).await;
+                answer.map_err(LeaseError::Connection)
+            };
             let revoked = async {
                 // The channel carries no messages; it is closed when the lease is revoked.
                 let _closed = self.revoked.recv().await;
@@ -77,11 +82,13 @@
             revoked.or(run).or(expired).await
         };
         let now = clock::now();
+        self.report_strays(StrayCause::Repeated, conn.take_strays(), cmd.request_id());
         match answer {
             Ok(answer) => {
                 self.conn = Some(conn);
                 self.in_transaction = answer.transaction_status != TransactionStatus::Idle;
-                self.pool.on_answer(self, sent_at, &answer, is_statement, now);
+                self.pool
+                    .on_answer(self, sent_at, &answer, cmd.is_statement(), now);
                 Ok(answer)
             }
             Err(e) => {
@@ -163,7 +170,26 @@
 
     /// Whether the server has neither closed the connection nor sent unsolicited data.
     pub(super) fn is_reusable(&self) -> bool {
-        self.conn.as_ref().is_some_and(ServerConnection::is_reusable)
+        let state = self.conn.as_ref().map(OrderedConnection::idle_state);
+        if state == Some(IdleState::Unread) {
+            self.report_strays(StrayCause::Unread, 1, None);
+        }
+        state == Some(IdleState::Quiet)
+    }
+
+    /// Counts and logs answers that belong to no command. `request` is the statement that was waiting for its answer.
+    fn report_strays(&self, cause: StrayCause, count: u32, request: Option<&str>) {
+        if count == 0 {
+            return;
+        }
+        self.pool.metrics.on_stray_answers(&self.service, cause, count);
+        event_log::log_stray_answers(&event_log::StrayAnswers {
+            request: request.unwrap_or("-"),
+            service: &self.service,
+            server: &self.server,
+            cause: cause.name(),
+            count,
+        });
     }
 
     async fn run_session_command(&mut self, cmd: Command<'_>) -> Result<(), LeaseError> {
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -1,11 +1,13 @@
 //! Request path, run on the traffic thread: caller sessions, connection pools and the choice of a backend server.
 
 mod access;
+mod answer_order;
 mod backend_statement;
 mod connection_lease;
 mod connection_limits;
 mod connection_wait;
 mod operation_rate_limiter;
+mod ordered_connection;
 mod placement;
 mod pool;
 mod pool_connect;
@@ -24,6 +26,7 @@
 mod transaction;
 
 pub use access::{admit, check_key};
+pub use answer_order::{AnswerMatch, AnswerOrder};
 pub use connection_limits::ConnectionLimits;
 pub use connection_wait::connection_wait_deadline;
 pub use operation_rate_limiter::{OperationRateLimiter, SendToPeer};
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,6 +1,7 @@
 //! The connection pool of an instance: its connections to all backend servers, by service and server.
 
 use super::connection_lease::ConnectionLease;
+use super::ordered_connection::OrderedConnection;
 use super::service_pool::{QueueKind, ServicePool};
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
@@ -168,7 +169,7 @@
         service: &Arc<str>,
         server: &Arc<str>,
         organisation: &Arc<str>,
-        conn: C::Connection,
+        conn: OrderedConnection<C::Connection>,
         connection_state: ConnectionState,
         now: Time,
     ) -> Option<ConnectionLease<C>> {
--- a/crates/gateway/src/traffic/pool_connect.rs
+++ b/crates/gateway/src/traffic/pool_connect.rs
@@ -1,5 +1,6 @@
 //! Opening of new backend connections for waiters.
 
+use super::ordered_connection::OrderedConnection;
 use super::pool::{LeaseResult, Pool, PoolError};
 use super::pool_queue::deliver_lease;
 use super::primary_wait::{check_primary_wait, queue_error};
@@ -54,7 +55,7 @@
                     &service,
                     &server,
                     &waiter.organisation,
-                    conn,
+                    OrderedConnection::new(conn),
                     connection_state,
                     now,
                 );
--- a/crates/gateway/src/traffic/refusal.rs
+++ b/crates/gateway/src/traffic/refusal.rs
@@ -64,6 +64,7 @@
 pub(super) const fn lease_error_cause(e: &LeaseError) -> &'static str {
     match e {
         LeaseError::Connection(ConnectionError::Timeout) => "silent",
+        LeaseError::Connection(ConnectionError::Unreadable(_)) => "unreadable",
         LeaseError::Connection(_) => "connection_lost",
         LeaseError::Revoked => "primary_moved",
     }
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -1,5 +1,6 @@
 //! The connections of this instance to one backend server, and the measured state of that server.
 
+use super::ordered_connection::OrderedConnection;
 use super::placement::ReplicaLag;
 use super::server_health::ServerHealth;
 use super::server_latency::ServerLatency;
@@ -13,7 +14,7 @@
 /// An idle connection, which only its organisation may reuse.
 #[derive(Debug)]
 pub(super) struct IdleConnection<C> {
-    pub(super) conn: C,
+    pub(super) conn: OrderedConnection<C>,
     pub(super) organisation: Arc<str>,
     pub(super) connection_state: ConnectionState,
     pub(super) since: Time,
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -81,6 +81,8 @@
     /// Log point that covers all commits of the session, `None` before the first one.
     pub(super) written_point: Option<LogPoint>,
     pub(super) transaction: Option<Transaction<C>>,
+    /// Number of requests received.
+    requests: u64,
 }
 
 impl<C> Session<C>
@@ -114,6 +116,7 @@
             prepared: HashMap::new(),
             written_point: None,
             transaction: None,
+            requests: 0,
         })
     }
 
@@ -135,6 +138,17 @@
         }
     }
 
+    /// Counts and logs a message of the caller that violates the protocol, which ends the session.
+    pub fn on_malformed_message(&self, detail: &'static str) {
+        self.cx.metrics.on_malformed_message(&self.service);
+        event_log::log_malformed(&event_log::Malformed {
+            organisation: &self.organisation,
+            database: &self.login.database,
+            requests: self.requests,
+            detail,
+        });
+    }
+
     /// Ends the session and rolls back its transaction.
     pub fn close(mut self) {
         self.drop_transaction();
@@ -143,6 +157,7 @@
     /// Runs one request. Records its latency and outcome, and logs an error.
     pub async fn handle(&mut self, req: &Request) -> Answer {
         let started = clock::now();
+        self.requests += 1;
         let kind = self.kind(req);
         let answer = self.answer(req, started).await;
         let took = clock::now().saturating_since(started);
--- a/crates/gateway/tests/overloaded_transaction.rs
+++ b/crates/gateway/tests/overloaded_transaction.rs
@@ -13,8 +13,8 @@
 use wasabiyard_gateway::traffic::{OperationRateLimiter, Session, SessionContext, SessionSettings};
 use wasabiyard_gateway::{
     Answer, CallerError, ClusterSnapshot, Command, Configuration, ConnectOutcome, ConnectionError, Connector,
-    Freshness, Login, Request, RouteRule, ServerConnection, ServerStatus, ServiceRule, Statement, Target,
-    TransactionStatus, clock,
+    Freshness, IdleState, Login, Request, RouteRule, ServerConnection, ServerStatus, ServiceRule, Statement,
+    Target, TransactionStatus, clock,
 };
 use wasabiyard_model::{InstanceId, PriorityClass, Term, Version};
 
@@ -58,8 +58,8 @@
         Ok(None)
     }
 
-    fn is_reusable(&self) -> bool {
-        true
+    fn idle_state(&self) -> IdleState {
+        IdleState::Quiet
     }
 }
 
--- a/crates/gateway/tests/primary_release.rs
+++ b/crates/gateway/tests/primary_release.rs
@@ -10,8 +10,8 @@
 use support::{open_pool, snapshot_with_primary};
 use wasabiyard_gateway::metrics::Metrics;
 use wasabiyard_gateway::{
-    Answer, Command, ConnectOutcome, ConnectionError, Connector, Leadership, ServerConnection, ServerStatus,
-    Target, VIEW_LEASE, clock,
+    Answer, Command, ConnectOutcome, ConnectionError, Connector, IdleState, Leadership, ServerConnection,
+    ServerStatus, Target, VIEW_LEASE, clock,
 };
 use wasabiyard_model::Term;
 
@@ -40,8 +40,8 @@
         Ok(None)
     }
 
-    fn is_reusable(&self) -> bool {
-        false
+    fn idle_state(&self) -> IdleState {
+        IdleState::Closed
     }
 }
 
