--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,9 @@
     /// A message violates the protocol.
     #[error("unreadable message: {0}")]
     Unreadable(&'static str),
+    /// An answer belongs to no command, so it is unknown which one the next answer belongs to.
+    #[error("answer out of order")]
+    OutOfOrder,
     /// No message arrived before the deadline.
     #[error("no answer in time")]
     Timeout,
@@ -130,6 +133,9 @@
     /// Runs one command. After an error, or when the future is dropped, the connection must not be used again.
     fn run(&mut self, cmd: Command<'_>) -> impl Future<Output = Result<Answer, ConnectionError>>;
 
+    /// Reads one more answer, with the same rules as `run`; `None` for a message that answers no command.
+    fn receive(&mut self) -> impl Future<Output = Result<Option<Answer>, ConnectionError>>;
+
     /// Queries the replication state; `None` when the server refuses or its response does not contain the state.
     fn status(&mut self) -> impl Future<Output = Result<Option<ServerStatus>, ConnectionError>>;
 
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -92,8 +92,12 @@
                 Ok(answer)
             }
             Err(e) => {
-                if let LeaseError::Connection(_) = e {
-                    self.pool.on_failure(&self.service, &self.server, sent_at, now);
+                match e {
+                    // The server has answered, if out of order.
+                    LeaseError::Revoked | LeaseError::Connection(ConnectionError::OutOfOrder) => {}
+                    LeaseError::Connection(_) => {
+                        self.pool.on_failure(&self.service, &self.server, sent_at, now);
+                    }
                 }
                 Err(e)
             }
--- a/crates/gateway/src/traffic/ordered_connection.rs
+++ b/crates/gateway/src/traffic/ordered_connection.rs
@@ -1,14 +1,14 @@
-//! A backend connection with the order of its answers.
+//! A backend connection that passes on only answers to its own commands.
 
 use super::answer_order::{AnswerMatch, AnswerOrder};
 use crate::{Answer, Command, ConnectionError, IdleState, ServerConnection};
 
-/// A backend connection that counts the answers that do not belong to its commands.
+/// A backend connection that skips repeated answers and fails at an answer that it cannot attribute.
 #[derive(Debug)]
 pub(super) struct OrderedConnection<C> {
     conn: C,
     order: AnswerOrder,
-    /// Answers that did not belong to a command, and were not reported yet.
+    /// Answers that were skipped and not reported yet.
     strays: u32,
 }
 
@@ -31,14 +31,34 @@
         cmd: Command<'_>,
         in_transaction: bool,
     ) -> Result<Answer, ConnectionError> {
-        let answer = self.conn.run(cmd).await?;
-        if self.order.on_answer(&cmd, in_transaction, &answer) != AnswerMatch::Own {
+        self.skip_unread().await?;
+        let mut received = Some(self.conn.run(cmd).await?);
+        loop {
+            if let Some(answer) = received {
+                match self.order.on_answer(&cmd, in_transaction, &answer) {
+                    AnswerMatch::Own => return Ok(answer),
+                    AnswerMatch::Repeated => {}
+                    AnswerMatch::Unknown => return Err(ConnectionError::OutOfOrder),
+                }
+            }
             self.strays += 1;
+            received = self.conn.receive().await?;
         }
-        Ok(answer)
     }
 
-    /// Number of stray answers since the last call.
+    /// Skips what arrived while no answer was awaited.
+    async fn skip_unread(&mut self) -> Result<(), ConnectionError> {
+        while self.conn.idle_state() == IdleState::Unread {
+            let received = self.conn.receive().await?;
+            if received.is_some_and(|answer| !self.order.is_repeated(&answer)) {
+                return Err(ConnectionError::OutOfOrder);
+            }
+            self.strays += 1;
+        }
+        Ok(())
+    }
+
+    /// Number of answers skipped since the last call.
     pub(super) const fn take_strays(&mut self) -> u32 {
         std::mem::replace(&mut self.strays, 0)
     }
@@ -46,4 +66,9 @@
     pub(super) fn idle_state(&self) -> IdleState {
         self.conn.idle_state()
     }
+
+    /// Whether the next answer can be told from a repeated one, so that another statement may use the connection.
+    pub(super) const fn recognises_repeats(&self) -> bool {
+        self.order.recognises_repeats()
+    }
 }
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -193,10 +193,11 @@
         })
     }
 
-    /// Takes back the connection of a lease. A connection that failed, is inside a transaction, belongs to a revoked
-    /// lease or to a draining server is closed.
+    /// Takes back the connection of a lease. A connection that failed, is inside a transaction, may mistake a repeated
+    /// answer for its next one, belongs to a revoked lease or to a draining server is closed.
     pub(super) fn release(self: &Rc<Self>, lease: &mut ConnectionLease<C>, now: Time) {
-        let conn = lease.conn.take().filter(|_| !lease.in_transaction);
+        let conn = lease.conn.take();
+        let conn = conn.filter(|c| !lease.in_transaction && c.recognises_repeats());
         let connection_state = std::mem::take(&mut lease.connection_state);
         if let Some(pool) = self.services.borrow_mut().get_mut(&lease.service) {
             let queue_kind = if lease.epoch.is_some() {
--- a/crates/gateway/src/traffic/refusal.rs
+++ b/crates/gateway/src/traffic/refusal.rs
@@ -65,6 +65,7 @@
     match e {
         LeaseError::Connection(ConnectionError::Timeout) => "silent",
         LeaseError::Connection(ConnectionError::Unreadable(_)) => "unreadable",
+        LeaseError::Connection(ConnectionError::OutOfOrder) => "out_of_order",
         LeaseError::Connection(_) => "connection_lost",
         LeaseError::Revoked => "primary_moved",
     }
--- a/crates/gateway/tests/overloaded_transaction.rs
+++ b/crates/gateway/tests/overloaded_transaction.rs
@@ -50,6 +50,10 @@
         })
     }
 
+    async fn receive(&mut self) -> Result<Option<Answer>, ConnectionError> {
+        Err(ConnectionError::Closed)
+    }
+
     async fn status(&mut self) -> Result<Option<ServerStatus>, ConnectionError> {
         Ok(None)
     }
--- a/crates/gateway/tests/primary_release.rs
+++ b/crates/gateway/tests/primary_release.rs
@@ -32,6 +32,10 @@
         Err(ConnectionError::Closed)
     }
 
+    async fn receive(&mut self) -> Result<Option<Answer>, ConnectionError> {
+        Err(ConnectionError::Closed)
+    }
+
     async fn status(&mut self) -> Result<Option<ServerStatus>, ConnectionError> {
         Ok(None)
     }
