--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -5,8 +5,8 @@
 use crate::connection_state::{ConnectionState, MAX_PREPARED_STATEMENTS, SessionValues};
 use crate::metrics::StrayCause;
 use crate::{
-    Answer, CallerError, Command, ConnectionError, Connector, IdleState, PreparedStatement,
-    TransactionStatus, clock, event_log,
+    Answer, CallerError, Command, ConnectionError, Connector, PreparedStatement, TransactionStatus, clock,
+    event_log,
 };
 use async_channel::Receiver;
 use async_io::Timer;
@@ -172,13 +172,19 @@
         !self.revoked.is_closed() && (self.epoch.is_none() || self.pool.snapshot().view_lease_holds(now))
     }
 
-    /// Whether the server has neither closed the connection nor sent unsolicited data.
-    pub(super) fn is_reusable(&self) -> bool {
-        let state = self.conn.as_ref().map(OrderedConnection::idle_state);
-        if state == Some(IdleState::Unread) {
-            self.report_strays(StrayCause::Unread, 1, None);
-        }
-        state == Some(IdleState::Quiet)
+    /// Checks that the server has not closed the connection while it was idle, and skips answers that came again.
+    pub(super) async fn check_idle(&mut self) -> Result<(), LeaseError> {
+        let Some(conn) = &mut self.conn else {
+            return Err(LeaseError::Connection(ConnectionError::Closed));
+        };
+        let expired = async {
+            Timer::after(SESSION_COMMAND_TIMEOUT).await;
+            Err(ConnectionError::Timeout)
+        };
+        let result = conn.check_idle().or(expired).await;
+        let skipped = conn.take_strays();
+        self.report_strays(StrayCause::Unread, skipped, None);
+        result.map_err(LeaseError::Connection)
     }
 
     /// Counts and logs answers that belong to no command. `request` is the statement that was waiting for its answer.
--- a/crates/gateway/src/traffic/ordered_connection.rs
+++ b/crates/gateway/src/traffic/ordered_connection.rs
@@ -31,7 +31,7 @@
         cmd: Command<'_>,
         in_transaction: bool,
     ) -> Result<Answer, ConnectionError> {
-        self.skip_unread().await?;
+        self.check_idle().await?;
         let mut received = Some(self.conn.run(cmd).await?);
         loop {
             if let Some(answer) = received {
@@ -46,16 +46,20 @@
         }
     }
 
-    /// Skips what arrived while no answer was awaited.
-    async fn skip_unread(&mut self) -> Result<(), ConnectionError> {
-        while self.conn.idle_state() == IdleState::Unread {
+    /// Checks that the connection is open, and skips repeated answers that arrived while none was awaited.
+    pub(super) async fn check_idle(&mut self) -> Result<(), ConnectionError> {
+        loop {
+            match self.conn.idle_state() {
+                IdleState::Quiet => return Ok(()),
+                IdleState::Closed => return Err(ConnectionError::Closed),
+                IdleState::Unread => {}
+            }
             let received = self.conn.receive().await?;
             if received.is_some_and(|answer| !self.order.is_repeated(&answer)) {
                 return Err(ConnectionError::OutOfOrder);
             }
             self.strays += 1;
         }
-        Ok(())
     }
 
     /// Number of answers skipped since the last call.
@@ -63,10 +67,6 @@
         std::mem::replace(&mut self.strays, 0)
     }
 
-    pub(super) fn idle_state(&self) -> IdleState {
-        self.conn.idle_state()
-    }
-
     /// Whether the next answer can be told from a repeated one, so that another statement may use the connection.
     pub(super) const fn recognises_repeats(&self) -> bool {
         self.order.recognises_repeats()
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -238,9 +238,7 @@
         lease: &mut ConnectionLease<C>,
         definition: Option<&PreparedStatement>,
     ) -> Result<(), LeaseError> {
-        if !lease.is_reusable() {
-            return Err(LeaseError::Connection(ConnectionError::Closed));
-        }
+        lease.check_idle().await?;
         lease.apply_session_values(&self.values).await?;
         match definition {
             Some(definition) => lease.prepare(definition).await,
