--- a/crates/gateway/src/traffic/answer_order.rs
+++ b/crates/gateway/src/traffic/answer_order.rs
@@ -8,8 +8,8 @@
 use std::collections::VecDeque;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Number of digests that a connection remembers. A repeated answer that is older is taken for an unknown one.
-const REMEMBERED_DIGESTS: usize = 256;
+/// Number of answers that a connection remembers. The repetition of an older one is not recognised.
+const REMEMBERED_ANSWERS: usize = 256;
 
 /// What an answer is to the command that was sent last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,11 +22,20 @@
     Unknown,
 }
 
+/// The answer to a statement, as a connection remembers it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct GivenAnswer {
+    /// Hash of the digest.
+    digest: u64,
+    /// Hash of the caller's id of the statement.
+    request: u64,
+}
+
 /// What a backend connection has answered so far.
 #[derive(Debug, Default)]
 pub struct AnswerOrder {
-    /// Hashes of the digests received last, in their order.
-    digests: VecDeque<u64>,
+    /// The last answers with a digest, in their order.
+    given: VecDeque<GivenAnswer>,
     /// Whether an answer was an error. It has no digest, so its repetition would not be recognised.
     error_received: bool,
 }
@@ -43,22 +52,22 @@
             Outcome::Done { digest } => digest.as_deref(),
         };
         let status_fits = fits(cmd, in_transaction, answer.transaction_status);
-        match digest.map(|d| xxh3_64(d.as_bytes())) {
-            Some(hash) if self.digests.contains(&hash) => AnswerMatch::Repeated,
-            Some(hash) if cmd.is_statement() && status_fits => {
-                self.remember(hash);
+        match (digest.map(hash), cmd.request_id().map(hash)) {
+            (Some(digest), request) if self.was_given_to_another(digest, request) => AnswerMatch::Repeated,
+            (Some(digest), Some(request)) if status_fits => {
+                self.remember(GivenAnswer { digest, request });
                 AnswerMatch::Own
             }
-            Some(_) => AnswerMatch::Unknown,
-            None if !cmd.is_statement() && status_fits => AnswerMatch::Own,
-            None => AnswerMatch::Repeated,
+            (Some(_), _) => AnswerMatch::Unknown,
+            (None, None) if status_fits => AnswerMatch::Own,
+            (None, _) => AnswerMatch::Repeated,
         }
     }
 
     /// Whether an answer that arrived before a command was sent repeats an earlier one.
     pub fn is_repeated(&self, answer: &Answer) -> bool {
         match &answer.outcome {
-            Outcome::Done { digest: Some(digest) } => self.digests.contains(&xxh3_64(digest.as_bytes())),
+            Outcome::Done { digest: Some(digest) } => self.was_given_to_another(hash(digest), None),
             Outcome::Done { digest: None } => true,
             Outcome::Error { .. } => false,
         }
@@ -69,14 +78,25 @@
         !self.error_received
     }
 
-    fn remember(&mut self, hash: u64) {
-        if self.digests.len() == REMEMBERED_DIGESTS {
-            self.digests.pop_front();
+    /// Whether a statement other than `request` was answered with the digest. A caller may use an id again, and the
+    /// digest may depend on nothing else.
+    fn was_given_to_another(&self, digest: u64, request: Option<u64>) -> bool {
+        let mut given = self.given.iter();
+        given.any(|g| g.digest == digest && Some(g.request) != request)
+    }
+
+    fn remember(&mut self, answer: GivenAnswer) {
+        if self.given.len() == REMEMBERED_ANSWERS {
+            self.given.pop_front();
         }
-        self.digests.push_back(hash);
+        self.given.push_back(answer);
     }
 }
 
+fn hash(text: &str) -> u64 {
+    xxh3_64(text.as_bytes())
+}
+
 /// Whether a success of `cmd` can leave the connection with this transaction status.
 const fn fits(cmd: &Command<'_>, in_transaction: bool, status: TransactionStatus) -> bool {
     match (cmd, status) {
