--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -245,7 +245,10 @@
         };
         let on_current_primary =
             lease.epoch.is_some() && pool.usable_primary().map(|(_, e)| e) == lease.epoch;
+        // Only a digest shows that the answer is not an older one that came late, with an older point.
+        let is_recent = is_statement && answer.failure().is_none();
         if let Some(point) = point
+            && is_recent
             && on_current_primary
         {
             pool.on_primary_point(sent_at, point);
