--- a/crates/gateway/src/traffic/ordered_connection.rs
+++ b/crates/gateway/src/traffic/ordered_connection.rs
@@ -3,6 +3,10 @@
 use super::answer_order::{AnswerMatch, AnswerOrder};
 use crate::{Answer, Command, ConnectionError, IdleState, ServerConnection};
 
+/// Most answers that are skipped for one command. While answers arrive without a pause, the timer of the command's
+/// timeout does not get to run, nor does any other task of the thread.
+const MAX_SKIPPED_ANSWERS: u32 = 64;
+
 /// A backend connection that skips repeated answers and fails at an answer that it cannot attribute.
 #[derive(Debug)]
 pub(super) struct OrderedConnection<C> {
@@ -41,7 +45,7 @@
                     AnswerMatch::Unknown => return Err(ConnectionError::OutOfOrder),
                 }
             }
-            self.strays += 1;
+            self.on_skipped()?;
             received = self.conn.receive().await?;
         }
     }
@@ -58,8 +62,17 @@
             if received.is_some_and(|answer| !self.order.is_repeated(&answer)) {
                 return Err(ConnectionError::OutOfOrder);
             }
-            self.strays += 1;
+            self.on_skipped()?;
+        }
+    }
+
+    /// Counts a skipped answer. Fails when too many were skipped for one command.
+    const fn on_skipped(&mut self) -> Result<(), ConnectionError> {
+        self.strays += 1;
+        if self.strays > MAX_SKIPPED_ANSWERS {
+            return Err(ConnectionError::OutOfOrder);
         }
+        Ok(())
     }
 
     /// Number of answers skipped since the last call.
