--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -187,6 +187,13 @@
         result.map_err(LeaseError::Connection)
     }
 
+    /// Whether the next error on the connection cannot be the repetition of an earlier one.
+    pub(super) fn recognises_repeats(&self) -> bool {
+        self.conn
+            .as_ref()
+            .is_some_and(OrderedConnection::recognises_repeats)
+    }
+
     /// Counts and logs answers that belong to no command. `request` is the statement that was waiting for its answer.
     fn report_strays(&self, cause: StrayCause, count: u32, request: Option<&str>) {
         if count == 0 {
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -237,6 +237,7 @@
             at_least: None,
         };
         let timeout = route.timeout.saturating_sub(ANSWER_MARGIN);
+        let recognises_repeats = lease.recognises_repeats();
         match lease.run(cmd, timeout).await {
             Ok(answer) if answer.failure().is_none() => {
                 if wrote && !lease.is_valid(clock::now()) {
@@ -251,6 +252,12 @@
                 }
                 answer
             }
+            // The error may repeat that of an earlier statement, while the commit is carried out.
+            Ok(_) if wrote && !recognises_repeats => Answer::error(
+                CallerError::InDoubt,
+                "the error may belong to an earlier statement",
+                TransactionStatus::Idle,
+            ),
             Ok(mut answer) => {
                 if answer.transaction_status != TransactionStatus::Idle {
                     self.cx.executor.spawn(lease.roll_back()).detach();
