--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -95,6 +95,13 @@
         /// Log point that the server must have reached.
         at_least: Option<LogPoint>,
     },
+    /// Commits the transaction under the caller's id.
+    Commit {
+        /// The caller's id.
+        id: &'a str,
+        /// The caller's text.
+        text: &'a str,
+    },
     /// Ends a transaction and drops its writes.
     Rollback,
     /// Sets a session value.
@@ -116,13 +123,16 @@
 impl Command<'_> {
     /// Whether this runs a caller's statement. Other commands may succeed on a server that fails all statements.
     pub const fn is_statement(&self) -> bool {
-        matches!(self, Self::Forward { .. } | Self::Execute { .. })
+        matches!(
+            self,
+            Self::Forward { .. } | Self::Execute { .. } | Self::Commit { .. }
+        )
     }
 
     /// The caller's id of the statement; `None` for a command of the instance.
     pub const fn request_id(&self) -> Option<&str> {
         match self {
-            Self::Forward { id, .. } | Self::Execute { id, .. } => Some(id),
+            Self::Forward { id, .. } | Self::Execute { id, .. } | Self::Commit { id, .. } => Some(id),
             _ => None,
         }
     }
--- a/crates/gateway/src/traffic/answer_order.rs
+++ b/crates/gateway/src/traffic/answer_order.rs
@@ -101,9 +101,7 @@
 const fn fits(cmd: &Command<'_>, in_transaction: bool, status: TransactionStatus) -> bool {
     match (cmd, status) {
         (Command::Begin { .. }, status) => matches!(status, TransactionStatus::InTransaction),
-        (Command::Rollback, status) => matches!(status, TransactionStatus::Idle),
-        // A commit ends the transaction; other statements leave it open.
-        (Command::Forward { .. }, _) if in_transaction => !matches!(status, TransactionStatus::Failed),
+        (Command::Commit { .. } | Command::Rollback, status) => matches!(status, TransactionStatus::Idle),
         (_, TransactionStatus::InTransaction) => in_transaction,
         (_, TransactionStatus::Idle) => !in_transaction,
         (_, TransactionStatus::Failed) => false,
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -100,7 +100,8 @@
                 return self.fail(CallerError::Aborted, "the primary is being replaced");
             }
             let remaining = deadline.saturating_since(now);
-            let answer = match lease.run(stmt.command(req, None), remaining).await {
+            let recognises_repeats = lease.recognises_repeats();
+            let mut answer = match lease.run(stmt.command(req, None), remaining).await {
                 Ok(answer) => answer,
                 // The server rolls the transaction back when its connection closes. No commit was sent, so the outcome
                 // is certain.
@@ -110,6 +111,10 @@
                 }
             };
             *wrote |= stmt.writes;
+            if answer.failure().is_some() && !recognises_repeats {
+                // The error may repeat an earlier one, so the statement may have run.
+                answer.transaction_status = TransactionStatus::Failed;
+            }
             match answer.failure() {
                 Some(CallerError::Busy)
                     if answer.transaction_status == TransactionStatus::InTransaction
@@ -231,10 +236,9 @@
                 TransactionStatus::Idle,
             );
         }
-        let cmd = Command::Forward {
+        let cmd = Command::Commit {
             id: &req.id,
             text: &req.text,
-            at_least: None,
         };
         let timeout = route.timeout.saturating_sub(ANSWER_MARGIN);
         let recognises_repeats = lease.recognises_repeats();
--- a/crates/gateway/tests/answer_order.rs
+++ b/crates/gateway/tests/answer_order.rs
@@ -14,6 +14,10 @@
     }
 }
 
+const COMMIT: Command<'static> = Command::Commit {
+    id: "r2",
+    text: "COMMIT",
+};
 const BEGIN: Command<'static> = Command::Begin {
     read_only: false,
     at_least: None,
@@ -101,8 +105,18 @@
         AnswerMatch::Unknown
     );
     assert_eq!(order.on_answer(&READ, true, &done("d3", open)), AnswerMatch::Own);
-    // A commit is forwarded like other statements.
-    assert_eq!(order.on_answer(&READ, true, &done("d4", idle)), AnswerMatch::Own);
+    assert_eq!(
+        order.on_answer(&READ, true, &done("d4", idle)),
+        AnswerMatch::Unknown
+    );
+    assert_eq!(
+        order.on_answer(&COMMIT, true, &done("d5", open)),
+        AnswerMatch::Unknown
+    );
+    assert_eq!(
+        order.on_answer(&COMMIT, true, &done("d6", idle)),
+        AnswerMatch::Own
+    );
 }
 
 /// An answer with a digest that no statement has asked for shifts all answers after it.
