--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -236,6 +236,13 @@
                 TransactionStatus::Idle,
             );
         }
+        if let Err(e) = lease.check_idle().await {
+            return Answer::error(
+                CallerError::Aborted,
+                lease_error_detail(&e),
+                TransactionStatus::Idle,
+            );
+        }
         let cmd = Command::Commit {
             id: &req.id,
             text: &req.text,
