--- a/crates/wasabiyardctl/src/logs.rs
+++ b/crates/wasabiyardctl/src/logs.rs
@@ -9,35 +9,38 @@
 use serde::Serialize;
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
+use wasabiyard_logging::LogField;
 
-/// Key that precedes the request id in a line about one request.
-const REQUEST_KEY: &str = "request=";
+/// Key of the request id in a line about one request.
+const REQUEST_KEY: &str = "request";
 
-/// A parsed log line. Lines sort by the order of the fields: time, instance, text.
+/// A log line of an instance. Lines sort by the order of the fields: time, instance, text.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-struct LogLine {
+struct InstanceLine {
     /// UTC timestamp by the wall clock of the instance.
     time: String,
     instance: String,
+    /// Message and fields, with the escapes of the log.
     text: String,
 }
 
-impl LogLine {
-    /// Parses `[TIME LEVEL MODULE] TEXT`; returns `None` for any other form.
+impl InstanceLine {
     fn parse(line: &str, instance: &str) -> Option<Self> {
-        let (prefix, text) = line.strip_prefix('[')?.split_once("] ")?;
-        let time = prefix.split(' ').next().filter(|t| t.ends_with('Z'))?;
+        let line = wasabiyard_logging::LogLine::parse(line)?;
         Some(Self {
-            time: time.to_owned(),
+            time: line.time.to_owned(),
             instance: instance.to_owned(),
-            text: text.to_owned(),
+            text: line.text.to_owned(),
         })
     }
 
     /// Id of the request that the line is about; `None` when it is about no request.
-    fn request(&self) -> Option<&str> {
-        let (_, rest) = self.text.split_once(REQUEST_KEY)?;
-        rest.split(' ').next()
+    fn request(&self) -> Option<LogField<'_>> {
+        let line = wasabiyard_logging::LogLine {
+            time: &self.time,
+            text: &self.text,
+        };
+        line.field(REQUEST_KEY)
     }
 }
 
@@ -57,7 +60,7 @@
         })?;
         let instance = instance_name(path);
         for line in text.lines().filter(|l| !l.is_empty()) {
-            match LogLine::parse(line, &instance) {
+            match InstanceLine::parse(line, &instance) {
                 Some(line) => lines.push(line),
                 None => unreadable += 1,
             }
@@ -65,7 +68,7 @@
     }
     lines.sort();
     if let Some(request) = request {
-        lines = select_request(lines, request)?;
+        lines = select_request(&lines, request)?;
     }
     Ok(build_report(&lines, unreadable))
 }
@@ -75,18 +78,35 @@
         .map_or_else(String::new, |s| s.to_string_lossy().into_owned())
 }
 
-fn select_request(lines: Vec<LogLine>, request: &str) -> Result<Vec<LogLine>, CtlError> {
-    let last_index = lines.iter().rposition(|l| l.request() == Some(request));
-    let last_index = last_index.ok_or_else(|| CtlError::NoSuchRequest {
-        request: request.to_owned(),
-    })?;
-    let up_to_last = lines.into_iter().take(last_index + 1);
-    Ok(up_to_last
-        .filter(|l| l.request().is_none_or(|r| r == request))
-        .collect())
+/// Selects by the id as the caller sent it, or, when no line has it, by the id as a log line shows it.
+fn select_request(lines: &[InstanceLine], request: &str) -> Result<Vec<InstanceLine>, CtlError> {
+    let is_sent = |f: LogField<'_>| f.has_value(request);
+    let is_shown = |f: LogField<'_>| f.escaped_value == request;
+    select_lines(lines, is_sent)
+        .or_else(|| select_lines(lines, is_shown))
+        .ok_or_else(|| CtlError::NoSuchRequest {
+            request: request.to_owned(),
+        })
+}
+
+/// The lines of the selected request and those about no request, up to the last line of the request.
+fn select_lines(
+    lines: &[InstanceLine],
+    is_selected: impl Fn(LogField<'_>) -> bool,
+) -> Option<Vec<InstanceLine>> {
+    let last_index = lines
+        .iter()
+        .rposition(|l| l.request().is_some_and(&is_selected))?;
+    let up_to_last = lines[..=last_index].iter();
+    Some(
+        up_to_last
+            .filter(|l| l.request().is_none_or(&is_selected))
+            .cloned()
+            .collect(),
+    )
 }
 
-fn build_report(lines: &[LogLine], unreadable: usize) -> Report {
+fn build_report(lines: &[InstanceLine], unreadable: usize) -> Report {
     let mut rows = vec![row(["TIME", "INSTANCE", "EVENT"])];
     rows.extend(lines.iter().map(|l| row([&l.time, &l.instance, &l.text])));
     let mut text = format_table(&rows);
--- a/crates/wasabiyardctl/tests/logs.rs
+++ b/crates/wasabiyardctl/tests/logs.rs
@@ -36,6 +36,32 @@
     assert_eq!(report.json["lines"].as_array().map(Vec::len), Some(5));
 }
 
+/// Callers choose their ids and database names. Some ids could not be found, and a name could pose as a request, which
+/// hid its line from every other request.
+#[test]
+fn ids_are_found_and_names_are_no_ids_whatever_they_hold() {
+    const LOG: &str = "\
+[2026-10-04T08:03:02.100Z INFO  wasabiyard_gateway::event_log] login refused database=request\\u{3d}cc33 error=auth
+[2026-10-04T08:03:02.200Z INFO  wasabiyard_gateway::control] lease lost last_request=7
+[2026-10-04T08:03:02.300Z INFO  wasabiyard_gateway::event_log] statement not served request=a\\u{3d}b\\nc error=busy
+";
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("a-1.log");
+    std::fs::write(&path, LOG).expect("a file");
+    for request in ["a=b\nc", "a\\u{3d}b\\nc"] {
+        let report = logs_report(std::slice::from_ref(&path), Some(request)).expect("a report");
+        assert_eq!(
+            report.json["lines"].as_array().map(Vec::len),
+            Some(3),
+            "{request}"
+        );
+    }
+    assert!(matches!(
+        logs_report(&[path], Some("cc33")),
+        Err(CtlError::NoSuchRequest { .. })
+    ));
+}
+
 #[test]
 fn an_unknown_request_is_an_error_and_not_an_empty_table() {
     let dir = tempfile::tempdir().expect("a folder");
--- a/crates/wasabiyardd/src/main.rs
+++ b/crates/wasabiyardd/src/main.rs
@@ -20,9 +20,7 @@
 }
 
 fn main() -> miette::Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_timestamp_micros()
-        .init();
+    wasabiyard_logging::builder(env_logger::TimestampPrecision::Micros).init();
     let args = Arguments::parse_args_default_or_exit();
     let config = args
         .config
