--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -4,12 +4,12 @@
 
 use crate::http_client::{HttpClient, HttpRequest};
 use crate::http_connection::{HttpError, HttpResponse};
+use crate::percent_encoding::encode_path;
 use crate::{Changes, ListedInstance, Object, Platform, PlatformError, Precondition};
 use hyper::{Method, StatusCode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 use wasabiyard_model::Version;
@@ -74,7 +74,7 @@
         expected: Version,
         value: Option<&Value>,
     ) -> Result<HttpResponse, PlatformError> {
-        let path = format!("/objects/{}?if_version={expected}", percent_encode(key));
+        let path = format!("/objects/{}?if_version={expected}", encode_path(key));
         let req = HttpRequest {
             value,
             ..HttpRequest::new(method, &path)
@@ -99,7 +99,7 @@
 
 impl Platform for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let path = format!("/objects/{}", percent_encode(key));
+        let path = format!("/objects/{}", encode_path(key));
         let resp = self.read(&path).await?;
         if resp.status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -127,14 +127,14 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
-        let path = format!("/objects?prefix={}", percent_encode(prefix));
+        let path = format!("/objects?prefix={}", encode_path(prefix));
         parse_body(&self.read(&path).await?, prefix)
     }
 
     async fn watch(&self, prefix: &str, since: u64, timeout: Duration) -> Result<Changes, PlatformError> {
         let path = format!(
             "/watch?prefix={}&since={since}&timeout_ms={}",
-            percent_encode(prefix),
+            encode_path(prefix),
             timeout.as_millis()
         );
         let req = HttpRequest {
@@ -169,16 +169,3 @@
         source,
     })
 }
-
-/// Percent-encodes everything but unreserved characters and the slash.
-fn percent_encode(text: &str) -> String {
-    let mut encoded = String::with_capacity(text.len());
-    for byte in text.bytes() {
-        if byte.is_ascii_alphanumeric() || b"-._~/".contains(&byte) {
-            encoded.push(char::from(byte));
-        } else {
-            write!(encoded, "%{byte:02X}").expect("writing to a string cannot fail");
-        }
-    }
-    encoded
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 mod http_client;
 mod http_connection;
 mod object;
+mod percent_encoding;
 
 pub use documents::{
     GroupSlot, GroupState, ManifestIndex, OutOfService, Registration, ReplicationGroup, ShareRound,
@@ -23,3 +24,4 @@
 pub use http_client::{HttpClient, HttpRequest};
 pub use http_connection::{HttpError, HttpResponse};
 pub use object::{Changes, ListedInstance, ListedState, Object, Platform, Precondition};
+pub use percent_encoding::encode_segment;
