--- a/crates/standin/src/group/connection.rs
+++ b/crates/standin/src/group/connection.rs
@@ -26,6 +26,8 @@
     input: BytesMut,
     /// Encoded messages that are not written yet.
     pub(crate) output: BytesMut,
+    /// The last output, if `SlotFaults::repeat` was set when it was written.
+    repeated: BytesMut,
     /// Which kinds of message the decoder expects before and after the startup.
     pub(crate) context: DecodeContext,
 }
@@ -40,6 +42,7 @@
             accepted_silence,
             input: BytesMut::new(),
             output: BytesMut::new(),
+            repeated: BytesMut::new(),
             context: DecodeContext::new(ProtocolVersion::PROTOCOL3_0),
         }
     }
@@ -78,6 +81,11 @@
         }
         self.apply_faults().await?;
         let output = self.output.split();
+        let repeated = std::mem::take(&mut self.repeated);
+        self.stream.write_all(&repeated).await?;
+        if self.member().faults().repeat {
+            self.repeated = output.clone();
+        }
         self.stream.write_all(&output).await
     }
 
--- a/crates/standin/src/group/faults.rs
+++ b/crates/standin/src/group/faults.rs
@@ -5,6 +5,10 @@
 /// The injected faults of one slot. `POST /faults` replaces the fields that its body names and keeps the others.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each fault is set on its own, beside any of the others"
+)]
 pub struct SlotFaults {
     /// The slot handles and sends nothing and does not replicate, as a process stopped by SIGSTOP.
     pub freeze: bool,
@@ -25,6 +29,8 @@
     /// A counter. Each increase makes all open connections unresponsive for good: the slot reads and discards their
     /// input. New connections are not affected.
     pub silence: u64,
+    /// Each output is sent a second time, in front of the next output on its connection.
+    pub repeat: bool,
 }
 
 impl SlotFaults {
--- a/crates/wasabiyardd/src/home/answer_filter.rs
+++ b/crates/wasabiyardd/src/home/answer_filter.rs
@@ -1,8 +1,9 @@
 //! Separates the answers to the caller from the answers to internal statements.
 //!
 //! The home pipelines internal statements around those of the caller on the same connection. Answers arrive in the
-//! order of the statements, so a queue of the expected answers identifies the statement of a frame. The end of an
-//! answer that may acknowledge a commit is held back until the position of the commit, if there is one, is known.
+//! order of the statements, so a queue of the expected answers identifies the statement of a frame. A mark after each
+//! batch shows that no answer before it was repeated, which would shift the queue. The end of an answer is held back
+//! until the mark has come, and until the position of the commit, if there may be one, is known.
 
 use super::frame::{self, Frame};
 use super::group_sql::{self, Row};
@@ -14,6 +15,9 @@
 /// statements.
 const MAX_HELD_BYTES: usize = 1024 * 1024;
 
+/// Most rows of an internal answer. The statements give one at most; more belong to another answer.
+const MAX_INTERNAL_ROWS: usize = 1;
+
 /// SQLSTATE `read_only_sql_transaction`, with which a replica refuses a write.
 const READ_ONLY_SQLSTATE: &str = "25006";
 
@@ -30,6 +34,8 @@
     Caller,
     /// The query for the last commit of the connection.
     LastCommit,
+    /// The statement that shows this mark, which ends each batch of the caller.
+    Mark(u64),
 }
 
 /// What the exchange has to do after a frame.
@@ -61,14 +67,13 @@
 #[derive(Debug)]
 pub struct AnswerFilter {
     expected: VecDeque<ExpectedAnswer>,
-    /// Whether a query for the last commit follows each batch of the caller.
-    queries_last_commit: bool,
     /// Whether the request can be retried if the slot refuses it as a replica. False after the first frame of its
     /// answer.
     may_retry: bool,
     held: BytesMut,
     batch: Batch,
-    row: Option<Row>,
+    /// Rows of the current internal answer, up to [`MAX_INTERNAL_ROWS`].
+    rows: Vec<Row>,
     internal_failed: bool,
 }
 
@@ -81,19 +86,21 @@
     contains_commit: bool,
     /// Transaction status after the batch.
     status: u8,
+    /// Whether the query for the last commit was answered.
+    last_commit_answered: bool,
+    /// What that query gave: nothing when the slot refused it in a failed transaction.
+    last_commit: Option<LogPoint>,
 }
 
 impl AnswerFilter {
-    /// Creates a filter that expects no answer. `queries_last_commit` states whether a query for the last commit follows
-    /// each batch of the caller, and `may_retry` whether the first batch can be sent to another slot.
-    pub fn new(queries_last_commit: bool, may_retry: bool) -> Self {
+    /// Creates a filter that expects no answer. `may_retry` states whether the first batch can be sent to another slot.
+    pub fn new(may_retry: bool) -> Self {
         Self {
             expected: VecDeque::new(),
-            queries_last_commit,
             may_retry,
             held: BytesMut::new(),
             batch: Batch::default(),
-            row: None,
+            rows: Vec::new(),
             internal_failed: false,
         }
     }
@@ -156,26 +163,17 @@
             return FilterAction::Broken;
         };
         self.batch.status = status;
-        if self.expected.front() == Some(&ExpectedAnswer::LastCommit) {
-            FilterAction::Continue
-        } else if self.batch.may_have_written {
-            FilterAction::QueryLastCommit
-        } else {
-            assert!(
-                !self.queries_last_commit,
-                "a query for the last commit must follow each batch"
-            );
-            self.batch_ended(None)
-        }
+        FilterAction::Continue
     }
 
     fn on_internal_frame(&mut self, internal: ExpectedAnswer, frame: &Frame) -> FilterAction {
         match frame.tag() {
-            frame::DATA_ROW => self.row = Some(Row(frame.columns())),
+            frame::DATA_ROW if self.rows.len() == MAX_INTERNAL_ROWS => return FilterAction::Broken,
+            frame::DATA_ROW => self.rows.push(Row(frame.columns())),
             frame::ERROR_RESPONSE => self.internal_failed = true,
             frame::READY_FOR_QUERY => {
                 self.expected.pop_front();
-                let rows: Vec<_> = self.row.take().into_iter().collect();
+                let rows = std::mem::take(&mut self.rows);
                 let internal_failed = std::mem::take(&mut self.internal_failed);
                 return self.on_internal_answer(internal, &rows, internal_failed, frame.transaction_status());
             }
@@ -193,7 +191,7 @@
     ) -> FilterAction {
         match internal {
             ExpectedAnswer::Reset | ExpectedAnswer::Organisation
-                if internal_failed || status != Some(b'I') =>
+                if internal_failed || status != Some(b'I') || !rows.is_empty() =>
             {
                 FilterAction::Broken
             }
@@ -209,20 +207,34 @@
             ExpectedAnswer::LastCommit
                 if internal_failed && self.batch.status == b'E' && !self.batch.contains_commit =>
             {
-                self.batch_ended(None)
+                self.batch.last_commit_answered = true;
+                FilterAction::Continue
             }
             ExpectedAnswer::LastCommit => match group_sql::parse_last_commit(rows) {
-                Some(point) if !internal_failed => self.batch_ended(Some(point)),
+                Some(point) if !internal_failed => {
+                    self.batch.last_commit_answered = true;
+                    self.batch.last_commit = Some(point);
+                    FilterAction::Continue
+                }
                 _ => FilterAction::CommitUnknown,
             },
+            // A failed transaction refuses this statement too. The mark after its end shows a shift.
+            ExpectedAnswer::Mark(_) if internal_failed && self.batch.status == b'E' => self.batch_ended(),
+            ExpectedAnswer::Mark(mark) if !internal_failed && group_sql::shows_mark(rows, mark) => {
+                self.batch_ended()
+            }
+            ExpectedAnswer::Mark(_) => FilterAction::Broken,
         }
     }
 
-    fn batch_ended(&mut self, last_commit: Option<LogPoint>) -> FilterAction {
+    fn batch_ended(&mut self) -> FilterAction {
+        if self.batch.may_have_written && !self.batch.last_commit_answered {
+            return FilterAction::QueryLastCommit;
+        }
         let batch = std::mem::take(&mut self.batch);
         FilterAction::BatchEnded {
             status: batch.status,
-            last_commit,
+            last_commit: batch.last_commit,
         }
     }
 }
--- a/crates/wasabiyardd/src/home/exchange.rs
+++ b/crates/wasabiyardd/src/home/exchange.rs
@@ -1,11 +1,10 @@
 //! Relays one stream at the home, over a slot connection: requests go to the slot, answers to the entry. The counterpart
 //! at the entry is `HomeStream`.
 
-use super::answer_filter::{ExpectedAnswer, FilterAction};
+use super::answer_filter::FilterAction;
 use super::database_home::DatabaseHome;
 use super::exchange_attempt::ExchangeAttempt;
-use super::frame::{self, Frame};
-use super::group_sql;
+use super::frame::Frame;
 use super::pooled_connection::PooledConnection;
 use super::request_state::{NoEffect, UnsentRequest};
 use super::send_buffer::SendBuffer;
@@ -150,8 +149,7 @@
                     );
                 }
                 FilterAction::QueryLastCommit => {
-                    attempt.conn.queue(&frame::query(group_sql::LAST_COMMIT));
-                    attempt.filter.expect_answer(ExpectedAnswer::LastCommit);
+                    attempt.queue_last_commit();
                 }
                 FilterAction::BatchEnded { status, last_commit } => {
                     attempt.record_commit(last_commit);
--- a/crates/wasabiyardd/src/home/exchange_attempt.rs
+++ b/crates/wasabiyardd/src/home/exchange_attempt.rs
@@ -38,16 +38,13 @@
         options: ExchangeOptions<'_>,
         deadline: Time,
     ) -> Self {
-        let mut filter = AnswerFilter::new(
-            options.role != SlotRole::Replica,
-            matches!(
-                options.role,
-                SlotRole::Primary {
-                    batch_complete: true,
-                    ..
-                }
-            ),
-        );
+        let mut filter = AnswerFilter::new(matches!(
+            options.role,
+            SlotRole::Primary {
+                batch_complete: true,
+                ..
+            }
+        ));
         for _ in 0..std::mem::take(&mut conn.pending_resets) {
             filter.expect_answer(ExpectedAnswer::Reset);
         }
@@ -85,22 +82,35 @@
         self.proof_deadline().is_some()
     }
 
-    /// Queues request bytes. At the primary, a query for the last commit follows each batch.
+    /// Queues request bytes. A mark follows each batch, and at the primary a query for the last commit before it.
     pub fn queue_request(&mut self, data: &[u8]) -> Result<(), BadLength> {
         let mut from = 0;
         for to in self.scanner.scan(data)? {
             self.conn.queue(&data[from..to]);
             from = to;
             self.filter.expect_answer(ExpectedAnswer::Caller);
-            if self.role != SlotRole::Replica {
-                self.conn.queue(&frame::query(group_sql::LAST_COMMIT));
-                self.filter.expect_answer(ExpectedAnswer::LastCommit);
+            if self.role == SlotRole::Replica {
+                self.queue_mark();
+            } else {
+                self.queue_last_commit();
             }
         }
         self.conn.queue(&data[from..]);
         Ok(())
     }
 
+    /// Queues the query for the last commit of the connection, and a mark after it.
+    pub fn queue_last_commit(&mut self) {
+        self.conn.queue(&frame::query(group_sql::LAST_COMMIT));
+        self.filter.expect_answer(ExpectedAnswer::LastCommit);
+        self.queue_mark();
+    }
+
+    fn queue_mark(&mut self) {
+        let mark = self.conn.queue_mark();
+        self.filter.expect_answer(ExpectedAnswer::Mark(mark));
+    }
+
     /// Records the commit of the batch that ended. The slot reports the last commit of the connection, so only a change
     /// since the previous report is a new commit.
     pub fn record_commit(&mut self, last_commit: Option<LogPoint>) {
--- a/crates/wasabiyardd/src/home/group_sql.rs
+++ b/crates/wasabiyardd/src/home/group_sql.rs
@@ -15,6 +15,18 @@
 pub const RESET: &str = "DISCARD ALL";
 /// Statement that shows whether a slot still answers on a connection.
 pub const PROBE: &str = "SELECT 1";
+/// Statement whose answer shows `mark`, a number that each use on a connection has for itself. Answers arrive in the order
+/// of the statements and carry no number of their own, so only this one shows that no answer before it was repeated.
+/// It takes no snapshot, and therefore changes nothing for a transaction that it runs in.
+pub fn show_mark(mark: u64) -> String {
+    format!("SET wasabiyard.mark = '{mark}'; SHOW wasabiyard.mark")
+}
+
+/// Whether the answer to [`show_mark`] shows `mark`.
+pub fn shows_mark(rows: &[Row], mark: u64) -> bool {
+    matches!(rows, [row] if row.number(0) == Some(mark))
+}
+
 /// Query for the status of a slot; parsed by [`SlotStatus::parse`].
 pub const STATUS: &str = "SELECT * FROM group_status()";
 /// Query for the last commit of the connection; parsed by [`parse_last_commit`].
--- a/crates/wasabiyardd/src/home/slot_connection.rs
+++ b/crates/wasabiyardd/src/home/slot_connection.rs
@@ -4,7 +4,7 @@
 //! whole request therefore cannot deadlock with this side.
 
 use super::frame::{self, Frame, FrameBuffer};
-use super::group_sql::Row;
+use super::group_sql::{self, Row};
 use async_io::{Async, Timer};
 use bytes::{Buf, BytesMut};
 use futures_lite::future;
@@ -58,6 +58,8 @@
     pub(super) pending_resets: usize,
     /// Last commit that the slot reported for this connection; the default point when there is none.
     pub(super) last_commit: LogPoint,
+    /// Number of the last statement of [`group_sql::show_mark`] on this connection.
+    last_mark: u64,
 }
 
 impl SlotConnection {
@@ -83,6 +85,7 @@
                 backend_key: None,
                 pending_resets: 0,
                 last_commit: LogPoint::default(),
+                last_mark: 0,
             };
             conn.start_up(database, credential).await?;
             Ok(conn)
@@ -146,6 +149,13 @@
         self.outgoing.extend_from_slice(bytes);
     }
 
+    /// Queues the statement that shows a new mark, and returns the mark.
+    pub fn queue_mark(&mut self) -> u64 {
+        self.last_mark += 1;
+        self.queue(&frame::query(&group_sql::show_mark(self.last_mark)));
+        self.last_mark
+    }
+
     /// Number of bytes that were queued and not sent yet.
     pub fn queued_bytes(&self) -> usize {
         self.outgoing.len()
@@ -230,6 +240,16 @@
         }
     }
 
+    /// As [`Self::read_answer`], and reads the answer that has to show `mark` after it.
+    async fn read_marked_answer(&mut self, mark: u64) -> io::Result<Answer> {
+        let answer = self.read_answer().await?;
+        let marked = self.read_answer().await?;
+        if marked.error.is_some() || !group_sql::shows_mark(&marked.rows, mark) {
+            return Err(invalid_data(PROTOCOL_VIOLATION));
+        }
+        Ok(answer)
+    }
+
     /// Runs an internal statement and returns its rows. No other answer may be awaited.
     ///
     /// # Errors
@@ -237,7 +257,8 @@
     /// As [`Self::read_answer`], and when the statement failed or took longer than `timeout`.
     pub async fn run_query(&mut self, sql: &str, timeout: Duration) -> io::Result<Vec<Row>> {
         self.queue(&frame::query(sql));
-        let answer = with_timeout(timeout, self.read_answer()).await?;
+        let mark = self.queue_mark();
+        let answer = with_timeout(timeout, self.read_marked_answer(mark)).await?;
         match answer.error {
             Some(code) => Err(io::Error::other(format!("the slot answered SQLSTATE {code}"))),
             None => Ok(answer.rows),
@@ -251,6 +272,7 @@
     /// As [`Self::run_query`], and when a reset failed.
     pub async fn query_after_resets(&mut self, sql: &str, timeout: Duration) -> io::Result<Vec<Row>> {
         self.queue(&frame::query(sql));
+        let mark = self.queue_mark();
         let resets = std::mem::take(&mut self.pending_resets);
         let answer = with_timeout(timeout, async {
             for _ in 0..resets {
@@ -259,7 +281,7 @@
                     return Err(invalid_data(PROTOCOL_VIOLATION));
                 }
             }
-            self.read_answer().await
+            self.read_marked_answer(mark).await
         });
         let answer = answer.await?;
         match answer.error {
--- a/crates/wasabiyardd/tests/home/fixture.rs
+++ b/crates/wasabiyardd/tests/home/fixture.rs
@@ -288,6 +288,19 @@
         printable(&bytes)
     }
 
+    /// As [`Self::receive_batch`]; `None` if the stream ends instead.
+    pub fn receive_batch_or_end(&self) -> Option<String> {
+        let mut bytes = Vec::new();
+        while !matches!(bytes.as_slice(), [.., b'Z', 0, 0, 0, 5, b'T' | b'E']) {
+            match self.receive_message() {
+                StreamMessage::Data(_, data) => bytes.extend(data),
+                StreamMessage::Credit(..) => {}
+                _ => return None,
+            }
+        }
+        Some(printable(&bytes))
+    }
+
     /// Receives up to the end of the stream, and grants credit for all received bytes.
     pub fn receive_to_end(self) -> Answer {
         let mut bytes = Vec::new();
--- a/crates/wasabiyardd/tests/home/streams.rs
+++ b/crates/wasabiyardd/tests/home/streams.rs
@@ -433,3 +433,77 @@
         fixture.write("zoo-riga", "INSERT INTO ledger VALUES ('p', 1)");
     }
 }
+
+/// Guards against passing on the answer to an earlier statement, which a slot repeats late, for the answer to the next
+/// one: answers carry no number, and the connection may serve another organisation by then.
+#[test]
+fn repeated_answers_are_never_taken_for_the_next() {
+    for bound in [ReadBound::Primary, ReadBound::AtLeast(LogPoint::new(1, 1))] {
+        let fixture = start();
+        fixture.write("zoo-riga", "INSERT INTO kv VALUES ('k', 'v')");
+        for slot in 0..3 {
+            fixture.change_faults(slot, |f| f.repeat = true);
+        }
+        for number in 1000..1020 {
+            let answer = fixture.call("zoo-riga", bound, &format!("SELECT {number}"));
+            if matches!(answer.outcome, StreamOutcome::Complete { .. }) {
+                let own = number.to_string();
+                assert!(answer.text.contains(&own), "{bound:?} {number}: {answer:?}");
+            }
+        }
+    }
+}
+
+/// Guards against the same inside a transaction, where the repeated answer precedes that of the same caller's next
+/// statement.
+#[test]
+fn repeated_answers_inside_a_transaction_are_never_taken_for_the_next() {
+    for bound in [ReadBound::Primary, ReadBound::AtLeast(LogPoint::new(1, 1))] {
+        let fixture = start();
+        fixture.write("zoo-riga", "INSERT INTO kv VALUES ('k', 'v')");
+        let caller = fixture.open("zoo-riga", bound, 2_000);
+        caller.send("BEGIN");
+        caller.receive_batch();
+        for slot in 0..3 {
+            fixture.change_faults(slot, |f| f.repeat = true);
+        }
+        for own in ["1001", "2002", "3003"] {
+            caller.send(&format!("SELECT {own}"));
+            let Some(answer) = caller.receive_batch_or_end() else {
+                break;
+            };
+            assert!(answer.contains(own), "{bound:?} {own}: {answer}");
+        }
+    }
+}
+
+/// Guards against counting a repeated report of an earlier position as the receipt of a later commit.
+#[test]
+fn repeated_reports_of_a_slot_acknowledge_no_commit() {
+    let fixture = start();
+    for round in 0..30 {
+        for slot in [1, 2] {
+            fixture.change_faults(slot, |f| (f.repeat, f.partition) = (false, false));
+        }
+        wait_until("a commit", || {
+            let answer = fixture.call("zoo-riga", ReadBound::Primary, "INSERT INTO kv VALUES ('k', 'v')");
+            matches!(answer.outcome, StreamOutcome::Complete { .. })
+        });
+        // The repeated report has to fall between two polls of the status, whose phase is not known.
+        std::thread::sleep(Duration::from_millis(round * 7));
+        for slot in [1, 2] {
+            fixture.change_faults(slot, |f| f.repeat = true);
+        }
+        let _any = fixture.call("zoo-riga", ReadBound::Primary, "INSERT INTO kv VALUES ('k', 'w')");
+        for slot in [1, 2] {
+            fixture.change_faults(slot, |f| f.partition = true);
+        }
+        let caller = fixture.open("zoo-riga", ReadBound::Primary, 300);
+        caller.send("INSERT INTO ledger VALUES ('p-1', 10)");
+        let answer = caller.receive_to_end();
+        assert!(
+            !matches!(answer.outcome, StreamOutcome::Complete { .. }),
+            "round {round}: acknowledged without a majority: {answer:?}"
+        );
+    }
+}
