--- a/crates/wasabiyardd/tests/control.rs
+++ b/crates/wasabiyardd/tests/control.rs
@@ -2,6 +2,9 @@
 //! document, and moves homes away from dead instances. Three control threads share an in-memory platform and a network
 //! of channels.
 
+mod evidence;
+
+use evidence::Evidence;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -133,6 +136,8 @@
 }
 
 struct TestInstance {
+    /// Dropped first, while the instance still runs.
+    _evidence: Evidence,
     handle: ControlHandle,
     snapshots: Arc<SnapshotCell>,
     recorder: Arc<Recorder>,
@@ -193,7 +198,9 @@
         platform_timeout: Duration::from_secs(2),
         random_seed: u64::from(n),
     };
+    let evidence = Evidence::watch(id.clone(), Arc::clone(&snapshots), Arc::clone(&recorder));
     TestInstance {
+        _evidence: evidence,
         handle: ControlThread::spawn(settings, deps).unwrap(),
         snapshots,
         recorder,
