--- a/crates/wasabiyardd/tests/control.rs
+++ b/crates/wasabiyardd/tests/control.rs
@@ -34,18 +34,35 @@
     down: bool,
 }
 
+impl PlatformState {
+    fn require_up(&self) -> Result<(), PlatformError> {
+        if self.down {
+            return Err(PlatformError::Unavailable { reason: "503".into() });
+        }
+        Ok(())
+    }
+
+    /// Version of an object, 0 if there is none.
+    fn version(&self, key: &str) -> Version {
+        self.objects.get(key).map_or(Version(0), |(_, v, _)| *v)
+    }
+
+    fn write(&mut self, key: &str, value: serde_json::Value) -> Version {
+        self.revision += 1;
+        let version = Version(self.version(key).0 + 1);
+        self.objects
+            .insert(key.to_owned(), (self.revision, version, value));
+        version
+    }
+}
+
 /// In-memory platform.
 #[derive(Default)]
 struct MemoryPlatform(Mutex<PlatformState>);
 
 impl MemoryPlatform {
     fn write(&self, key: &str, value: serde_json::Value) {
-        let inner = &mut *self.0.lock().unwrap();
-        inner.revision += 1;
-        let version = inner.objects.get(key).map_or(1, |(_, v, _)| v.0 + 1);
-        inner
-            .objects
-            .insert(key.to_owned(), (inner.revision, Version(version), value));
+        self.0.lock().unwrap().write(key, value);
     }
 
     fn write_manifest(&self, version: u64, text: &str) {
@@ -63,9 +80,7 @@
 
     fn changes(&self, prefix: &str, since: u64) -> Result<Changes, PlatformError> {
         let inner = self.0.lock().unwrap();
-        if inner.down {
-            return Err(PlatformError::Unavailable { reason: "503".into() });
-        }
+        inner.require_up()?;
         let changed = inner
             .objects
             .iter()
@@ -87,13 +102,16 @@
         Ok(self.changes(key, 0)?.objects.into_iter().find(|o| o.key == key))
     }
 
+    /// Checks and writes under one lock: between two, each of several instances would create the session token key.
     async fn put(
         &self,
         key: &str,
         expect: Precondition,
         value: &serde_json::Value,
     ) -> Result<Version, PlatformError> {
-        let found = self.get(key).await?.map_or(Version(0), |o| o.version);
+        let mut inner = self.0.lock().unwrap();
+        inner.require_up()?;
+        let found = inner.version(key);
         let expected = if let Precondition::Version(v) = expect {
             v
         } else {
@@ -106,8 +124,7 @@
                 found,
             });
         }
-        self.write(key, value.clone());
-        Ok(Version(found.0 + 1))
+        Ok(inner.write(key, value.clone()))
     }
 
     async fn delete(&self, _key: &str, _version: Version) -> Result<(), PlatformError> {
