--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -47,7 +47,6 @@
         }
     }
 
-    /// Sends a read. Since a read changes nothing, a lost response is reported as an unavailable platform.
     async fn read(&self, path: &str) -> Result<HttpResponse, PlatformError> {
         self.send_get(&HttpRequest::new(Method::GET, path), self.timeout)
             .await
@@ -58,12 +57,7 @@
         req: &HttpRequest<'_>,
         timeout: Duration,
     ) -> Result<HttpResponse, PlatformError> {
-        match self.client.execute(req, timeout).await {
-            Ok(response) => check_status(response, req.path),
-            Err(HttpError::NotSent(reason) | HttpError::ResponseLost(reason)) => {
-                Err(PlatformError::Unavailable { reason })
-            }
-        }
+        check_status(self.client.read(req, timeout).await?, req.path)
     }
 
     /// Sends a conditional update. `expected` is the version that the object must have, 0 if it must not exist.
--- a/crates/platform/src/http_client.rs
+++ b/crates/platform/src/http_client.rs
@@ -6,6 +6,7 @@
 //! An idle connection may have been lost without a trace. A read on one that does not respond is sent on a new
 //! connection too, and a write, which must not be sent twice, uses only a connection that has responded lately.
 
+use crate::PlatformError;
 use crate::http_connection::{HttpConnection, HttpError, HttpResponse};
 use async_io::Timer;
 use futures_lite::{FutureExt, future};
@@ -86,6 +87,24 @@
         }
     }
 
+    /// Sends a read and returns the whole response, within `timeout`. Since a read changes nothing, it does not matter
+    /// whether it was handled.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Unavailable`] if there is no response.
+    pub async fn read(
+        &self,
+        req: &HttpRequest<'_>,
+        timeout: Duration,
+    ) -> Result<HttpResponse, PlatformError> {
+        self.execute(req, timeout).await.map_err(|error| match error {
+            HttpError::NotSent(reason) | HttpError::ResponseLost(reason) => {
+                PlatformError::Unavailable { reason }
+            }
+        })
+    }
+
     /// Sends a request and returns the whole response, within `timeout`. A read may be sent twice, a write is sent once.
     ///
     /// # Errors
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,7 +2,7 @@
 //! consistent list of instances.
 //!
 //! The trait [`Platform`] and the document types contain every assumption about the platform, so supporting another
-//! platform requires only another implementation of this trait. [`HttpClient`] does not depend on the platform;
+//! platform requires only another implementation of this trait. [`HttpClient`] knows no paths and no documents;
 //! `wasabiyard-node` also uses it for its object store and promotion service.
 
 mod documents;
