--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -178,13 +178,9 @@
 
     /// Primary records that this instance knows in a later epoch than the store.
     pub(super) fn lost_primary_records(&self) -> Vec<(Arc<str>, PrimaryRecord)> {
-        let stored = |service: &Arc<str>| {
-            let key = ViewKey::Primary(Arc::clone(service));
-            let found = self.view.parts(ViewScope::Records).find(|(k, _, _)| **k == key);
-            found.map_or(0, |(_, _, value)| match value {
-                ViewValue::Primary(record) => record.epoch,
-                _ => 0,
-            })
+        let stored = |service| match self.view.value(&ViewKey::Primary(Arc::clone(service))) {
+            Some(ViewValue::Primary(record)) => record.epoch,
+            _ => 0,
         };
         let known = self.snapshot.primaries.iter();
         let lost = known.filter(|(service, record)| record.epoch > stored(service));
--- a/crates/gateway/src/view/scope_table.rs
+++ b/crates/gateway/src/view/scope_table.rs
@@ -44,6 +44,11 @@
         parts.filter_map(|(key, part)| Some((key, part.revision, part.value.as_ref()?)))
     }
 
+    /// The content of a part; `None` if the part does not exist.
+    pub(super) fn value(&self, key: &ViewKey) -> Option<&ViewValue> {
+        self.parts.get(key)?.value.as_ref()
+    }
+
     /// Replaces the parts by a list that reflects `revision`. Returns whether anything changed; a list that is older
     /// than the parts is ignored.
     pub(super) fn replace(&mut self, revision: u64, listed: Vec<(u64, ViewKey, ViewValue)>) -> bool {
--- a/crates/gateway/src/view/view_table.rs
+++ b/crates/gateway/src/view/view_table.rs
@@ -73,6 +73,11 @@
         self.scopes[scope.index()].parts()
     }
 
+    /// The content of a part; `None` if the part does not exist.
+    pub fn value(&self, key: &ViewKey) -> Option<&ViewValue> {
+        self.scopes[key.scope().index()].value(key)
+    }
+
     /// The cursor to send to a relay. A transfer that another relay has begun is dropped.
     pub fn cursor_for(&mut self, relay: &InstanceId) -> ViewCursor {
         if let Some(transfer) = self.transfer.as_ref().filter(|t| t.relay == *relay) {
