--- a/crates/gateway/src/control/failover_lease.rs
+++ b/crates/gateway/src/control/failover_lease.rs
@@ -1,5 +1,6 @@
 //! The failover lease: a lease in the store that lets one instance at a time replace primaries.
 
+use super::reached_generation::ReachedGeneration;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,8 +17,6 @@
 /// Upper bound of the stagger. In a large fleet many of the first-ranked instances may be cut off together with the
 /// holder, and an unbounded stagger would add up over all of them.
 const MAX_TAKEOVER_STAGGER: Duration = Duration::from_millis(1_500);
-/// Value of [`FailoverLeaseRecord::confirmed`] and [`FailoverLeaseRecord::settled`] before the first generation.
-const NO_GENERATION: u64 = u64::MAX;
 
 /// The failover lease as stored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,13 +31,12 @@
     pub renewals: u64,
     /// Whether the holder released the lease before its expiry.
     pub released: bool,
-    /// Newest generation of the store whose records a holder has confirmed. `None` in records of builds that did not
-    /// know of restores; the present generation counts as confirmed then.
+    /// Newest generation of the store whose records a holder has confirmed.
     #[serde(default)]
-    pub confirmed: Option<u64>,
-    /// The same for generations in which every view lease from before the restore has expired.
+    pub confirmed: ReachedGeneration,
+    /// Newest generation in which every view lease from before the restore has expired.
     #[serde(default)]
-    pub settled: Option<u64>,
+    pub settled: ReachedGeneration,
 }
 
 /// What a write of the lease depends on besides the lease itself.
@@ -54,23 +52,15 @@
 
 impl LeaseTerms {
     /// The confirmed generation in a record that follows `previous`.
-    fn confirmed_after(&self, previous: Option<&FailoverLeaseRecord>) -> Option<u64> {
-        let before = previous.map_or(Some(NO_GENERATION), |record| record.confirmed);
-        self.reached_after(self.may_confirm, before)
+    fn confirmed_after(&self, previous: Option<&FailoverLeaseRecord>) -> ReachedGeneration {
+        let before = previous.map_or(ReachedGeneration::NONE, |record| record.confirmed);
+        before.next(self.generation, self.may_confirm)
     }
 
     /// The settled generation in a record that follows `previous`.
-    fn settled_after(&self, previous: Option<&FailoverLeaseRecord>) -> Option<u64> {
-        let before = previous.map_or(Some(NO_GENERATION), |record| record.settled);
-        self.reached_after(self.has_settled, before)
-    }
-
-    fn reached_after(&self, reached: bool, before: Option<u64>) -> Option<u64> {
-        if reached || covers(before, self.generation) {
-            Some(self.generation.restores())
-        } else {
-            before
-        }
+    fn settled_after(&self, previous: Option<&FailoverLeaseRecord>) -> ReachedGeneration {
+        let before = previous.map_or(ReachedGeneration::NONE, |record| record.settled);
+        before.next(self.generation, self.has_settled)
     }
 
     /// The fencing token of an acquisition after `previous`. It exceeds those that a restored store has forgotten.
@@ -83,19 +73,15 @@
 impl FailoverLeaseRecord {
     /// Whether a holder has confirmed the records of `generation`.
     pub fn confirms(&self, generation: Generation) -> bool {
-        covers(self.confirmed, generation)
+        self.confirmed.covers(generation)
     }
 
     /// Whether a holder has seen `generation` settle.
     pub fn has_settled(&self, generation: Generation) -> bool {
-        covers(self.settled, generation)
+        self.settled.covers(generation)
     }
 }
 
-fn covers(recorded: Option<u64>, generation: Generation) -> bool {
-    recorded.is_none_or(|g| g == generation.restores())
-}
-
 /// The failover lease as this instance has observed it.
 #[derive(Debug, Clone, Default)]
 pub struct FailoverLease {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod leadership_task;
 mod poll;
 mod poll_health;
+mod reached_generation;
 mod record_recovery;
 mod records;
 mod registration;
@@ -34,6 +35,7 @@
 };
 pub use failover_lease::{FailoverLease, FailoverLeaseRecord, LeaseTerms};
 pub use instance_registry::{InstanceRegistry, VIEW_LEASE_MARGIN};
+pub use reached_generation::ReachedGeneration;
 pub use revision_proofs::{RevisionProof, RevisionProofs};
 pub use store_calls::{StoreCallKind, StoreCalls};
 pub use store_circuit_breaker::StoreCircuitBreaker;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -5,7 +5,7 @@
 use rand::rngs::SmallRng;
 use std::rc::Rc;
 use std::time::Duration;
-use wasabiyard_gateway::control::{FailoverLease, FailoverLeaseRecord, LeaseTerms};
+use wasabiyard_gateway::control::{FailoverLease, FailoverLeaseRecord, LeaseTerms, ReachedGeneration};
 use wasabiyard_gateway::peer::{Envelope, ReleaseTargets};
 use wasabiyard_gateway::traffic::{Candidate, ReplicaLag, choose_server, required_point};
 use wasabiyard_gateway::{
@@ -13,6 +13,7 @@
     SessionValues, VIEW_LEASE,
 };
 use wasabiyard_model::{Incarnation, InstanceId, LogPoint, Time, Version};
+use wasabiyard_platform::Generation;
 
 const START: Time = Time::from_millis(100_000);
 const RENEWAL_PERIOD: Duration = Duration::from_secs(1);
@@ -85,8 +86,8 @@
         fence,
         renewals: 0,
         released: false,
-        confirmed: Some(0),
-        settled: Some(0),
+        confirmed: ReachedGeneration::at(Generation::default()),
+        settled: ReachedGeneration::at(Generation::default()),
     }
 }
 
--- a/crates/gateway/tests/store_generation.rs
+++ b/crates/gateway/tests/store_generation.rs
@@ -88,6 +88,20 @@
     assert!(taken_over.confirms(generation(1)));
 }
 
+/// Builds of two releases share the record while a fleet is renewed. One that misread the other's would use records of a
+/// restored store as if they were confirmed, or never confirm them.
+#[test]
+fn the_stored_form_of_the_lease_does_not_change() {
+    let old = r#"{"holder":"a","incarnation":1,"fence":1,"renewals":0,"released":false}"#;
+    let old: FailoverLeaseRecord = serde_json::from_str(old).expect("a record without generations");
+    assert!(old.confirms(generation(3)) && old.has_settled(generation(3)));
+    let stored = r#"{"holder":"a","incarnation":1,"fence":1,"renewals":0,"released":false,"confirmed":2,"settled":null}"#;
+    let record: FailoverLeaseRecord = serde_json::from_str(stored).expect("a record");
+    assert!(record.confirms(generation(2)) && !record.confirms(generation(3)));
+    assert!(record.has_settled(generation(3)));
+    assert_eq!(serde_json::to_string(&record).expect("a record"), stored);
+}
+
 /// A holder that may have lost its lease in the seconds that the store has forgotten does not know all changes of primaries.
 #[test]
 fn a_holder_is_exclusive_until_another_one_may_have_taken_over() {
