--- a/crates/gateway/src/rate/mod.rs
+++ b/crates/gateway/src/rate/mod.rs
@@ -16,6 +16,8 @@
 
 mod coordinator;
 mod coordinator_link;
+mod organisation_state;
+mod peer_links;
 mod placement;
 mod rate_limiter_state;
 mod token_bucket;
