Count operations and report their usage

Counting, the clock of windows, collecting and the decision of what may be reported are modules without input or output in crates/gateway/src/usage. The holder of the failover lease records each report in the store before it sends it. Active only with the section [usage] of the settings.

Ruled out: a receipt for each report in a list of the store (one record with the last report is enough, since the next one follows only on its acceptance), and counting at the time of the answer (the window is that of the start).

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -3,6 +3,8 @@
 use super::failover::ServerContacts;
 use super::state::ControlState;
 use super::store_calls::StoreCalls;
+use super::usage_task::{UsageContext, UsageState};
+use crate::usage::UsageMessage;
 use crate::view::{ViewCursor, ViewPage};
 use crate::{ClusterSnapshot, Connector, Discovery, PeerMessage, PrimaryRecord, Promoter, clock};
 use arc_swap::ArcSwap;
@@ -11,7 +13,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use wasabiyard_model::InstanceId;
+use wasabiyard_model::{Incarnation, InstanceId};
 use wasabiyard_platform::{ListedInstance, Platform};
 
 /// An event that the traffic thread forwards to the control thread. Most are messages of peers; heartbeats and
@@ -41,6 +43,15 @@
         /// Its contacts with backend servers since the last heartbeat.
         contacts: ServerContacts,
     },
+    /// Usage counts of an instance.
+    Usage {
+        /// Instance that sent them.
+        from: InstanceId,
+        /// Incarnation of its process.
+        incarnation: Incarnation,
+        /// The counts.
+        message: UsageMessage,
+    },
     /// A follower requests the changes since its last page from this relay.
     ViewRequest {
         /// The follower.
@@ -90,6 +101,8 @@
     pub stop: Receiver<()>,
     /// Counters of the calls to the store.
     pub store_calls: Arc<StoreCalls>,
+    /// Clock and settings of usage reports; `None` if none are required.
+    pub usage: Option<UsageContext>,
 }
 
 /// Handle to a running control thread.
@@ -121,6 +134,8 @@
     /// Notified when this instance has renewed the failover lease.
     pub(super) lease_renewed: (Sender<()>, Receiver<()>),
     pub(super) state: RefCell<ControlState>,
+    /// Usage reports; `None` if none are required.
+    pub(super) usage: Option<RefCell<UsageState>>,
 }
 
 impl<P, D, M, C> ControlThread<P, D, M, C>
@@ -153,6 +168,7 @@
                 connector,
                 settings,
                 store_calls: Arc::clone(&channels.store_calls),
+                usage: channels.usage.clone().map(|cx| RefCell::new(UsageState::new(cx))),
                 channels,
                 lease_renewed: async_channel::bounded(1),
                 state: RefCell::new(ControlState::new(incarnation)),
@@ -176,6 +192,7 @@
         executor
             .spawn(Rc::clone(&self).monitor_primaries(Rc::clone(&executor)))
             .detach();
+        executor.spawn(Rc::clone(&self).report_usage()).detach();
         // The channel carries no values; `recv` returns once it is closed.
         let _closed = self.channels.stop.recv().await;
         self.state.borrow_mut().stopping = true;
@@ -201,6 +218,11 @@
                     request_id,
                     cursor,
                 } => self.serve_view(from, request_id, &cursor),
+                ControlEvent::Usage {
+                    from,
+                    incarnation,
+                    message,
+                } => self.on_usage_message(from, incarnation, &message, now),
                 ControlEvent::ViewResponse { request_id, page } => self.on_view_response(request_id, page),
                 ControlEvent::Heartbeat { from, contacts } => {
                     let mut state = self.state.borrow_mut();
--- a/crates/gateway/src/control/failover_lease.rs
+++ b/crates/gateway/src/control/failover_lease.rs
@@ -82,6 +82,14 @@
     }
 }
 
+/// How this process acquired the lease.
+#[derive(Debug, Clone, Copy)]
+struct Acquisition {
+    at: Time,
+    /// Whether the lease of another holder had expired, so that this holder had been unable to act for a while.
+    after_expiry: bool,
+}
+
 /// The failover lease as this instance has observed it.
 #[derive(Debug, Clone, Default)]
 pub struct FailoverLease {
@@ -91,6 +99,7 @@
     /// When this process sent its last successful write of the record, and the version that it wrote.
     renewed_at: Option<Time>,
     written_version: Option<Version>,
+    acquisition: Option<Acquisition>,
 }
 
 impl FailoverLease {
@@ -111,6 +120,11 @@
     /// Applies a successful write by this process that was sent at `sent`. The holder timeout counts from there,
     /// because the store may have applied the write at any moment since.
     pub fn on_written(&mut self, version: Version, record: FailoverLeaseRecord, sent: Time, now: Time) {
+        if record.renewals == 0 {
+            let previous = self.record.as_ref().map(|(_, previous)| previous);
+            let after_expiry = previous.is_some_and(|p| !p.released && p.holder != record.holder);
+            self.acquisition = Some(Acquisition { at: now, after_expiry });
+        }
         self.record = Some((version, record));
         self.written_version = Some(version);
         self.renewed_at = Some(sent);
@@ -139,6 +153,27 @@
         (is_holder && now < renewed + HOLDER_TIMEOUT).then_some(record.fence)
     }
 
+    /// The fencing token, if this process may act on it at `now` and no two instances act in the order A, B, A within `turn`.
+    ///
+    /// An acquisition of an expired lease follows [`TAKEOVER_TIMEOUT`] after the last renewal of its former holder. Any other one may
+    /// follow at once on acts of the former holder, or of one that a restored store has forgotten, and is not used before that time.
+    pub fn held_fence_in_turn(
+        &self,
+        own_id: &str,
+        incarnation: Incarnation,
+        turn: Duration,
+        now: Time,
+    ) -> Option<u64> {
+        let acquisition = self.acquisition?;
+        let pause = if acquisition.after_expiry {
+            turn.saturating_sub(TAKEOVER_TIMEOUT)
+        } else {
+            turn.max(TAKEOVER_TIMEOUT)
+        };
+        self.held_fence(own_id, incarnation, now)
+            .filter(|_| now >= acquisition.at + pause)
+    }
+
     /// Whether this process holds the lease and no other one can have acquired it up to `now`, even if the store has
     /// forgotten such a write.
     pub fn is_exclusive(&self, now: Time) -> bool {
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    fn held_fence(&self) -> Option<u64> {
+    pub(super) fn held_fence(&self) -> Option<u64> {
         let own_entry = &self.settings.instance;
         let state = self.state.borrow();
         state
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -24,6 +24,7 @@
 mod store_reads;
 mod successor;
 mod successor_search;
+mod usage_task;
 mod view_requests;
 
 pub use control_loop::{
@@ -43,3 +44,4 @@
 pub use successor::{
     AcknowledgedCommits, CandidateStatus, CandidateSurvey, OldPrimaryStep, old_primary_step,
 };
+pub use usage_task::UsageContext;
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -14,6 +14,7 @@
 const INSTANCE_PREFIX: &str = "instance-";
 const PRIMARY_PREFIX: &str = "primary-";
 const FAILOVER_LEASE_NAME: &str = "duty";
+const USAGE_NAME: &str = "usage";
 const PEER_SECRET_NAME: &str = "secret";
 
 /// The key that authenticates messages between instances.
@@ -44,6 +45,10 @@
     format!("{KEY_PREFIX}{FAILOVER_LEASE_NAME}")
 }
 
+pub(super) fn usage_key() -> String {
+    format!("{KEY_PREFIX}{USAGE_NAME}")
+}
+
 pub(super) fn peer_secret_key() -> String {
     format!("{KEY_PREFIX}{PEER_SECRET_NAME}")
 }
--- a/crates/gateway/src/control/store_calls.rs
+++ b/crates/gateway/src/control/store_calls.rs
@@ -15,16 +15,19 @@
     Lease,
     /// A primary record, or the entry of another instance, written by the holder of the failover lease.
     Failover,
+    /// The last usage report, read or written by the holder of the failover lease.
+    Usage,
 }
 
 impl StoreCallKind {
     /// All kinds, in the order of their indices.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Read,
         Self::StaleRead,
         Self::Registration,
         Self::Lease,
         Self::Failover,
+        Self::Usage,
     ];
 
     /// Value of the label `kind` of the metric.
@@ -35,6 +38,7 @@
             Self::Registration => "registration",
             Self::Lease => "lease",
             Self::Failover => "failover",
+            Self::Usage => "usage",
         }
     }
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,5 +1,6 @@
-//! Interfaces to service discovery and to the promotion service.
+//! Interfaces to service discovery and to the service that promotes servers and takes usage reports.
 
+use crate::usage::OrganisationCounts;
 use crate::{BackendServer, Configuration};
 use std::sync::Arc;
 use wasabiyard_model::Version;
@@ -73,8 +74,38 @@
     Unknown,
 }
 
-/// Client of the promotion service.
+/// Report of the operations that began to run in one window, with the fencing token that proves that the sender holds the failover
+/// lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageReport<'a> {
+    /// Number of the window.
+    pub window: u64,
+    /// Operations by organisation.
+    pub counts: &'a OrganisationCounts,
+    /// Id of the instance that holds the failover lease.
+    pub holder: &'a str,
+    /// Fencing token of the lease, incremented with each acquisition.
+    pub fence: u64,
+}
+
+/// Response of the service to a [`UsageReport`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UsageResponse {
+    /// The service has the report.
+    Accepted,
+    /// The service does not take the report, however often it is sent.
+    Refused,
+    /// Rejected by the rate limit of the service; nothing was done.
+    Throttled,
+    /// No usable response arrived, so the service may or may not have the report.
+    Unknown,
+}
+
+/// Client of the service that promotes backend servers and takes usage reports.
 pub trait Promoter {
     /// Sends one order and waits for the response; it does not retry.
     fn promote(&self, order: PromotionOrder<'_>) -> impl Future<Output = PromotionResponse>;
+
+    /// Sends one report and waits for the response; it does not retry.
+    fn report_usage(&self, report: UsageReport<'_>) -> impl Future<Output = UsageResponse>;
 }
--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -33,7 +33,12 @@
     pub(super) async fn send_outbound(self: Rc<Self>, outbound: Receiver<OutboundMessage>) {
         while let Ok(outbound) = outbound.recv().await {
             match outbound {
-                OutboundMessage::Unicast(to, message) => self.peers.send(&to, &message),
+                OutboundMessage::Unicast(to, message) => match message {
+                    PeerMessage::UsageStatus(status) if to == self.settings.instance.id => {
+                        self.on_usage_status(&to, &status);
+                    }
+                    message => self.peers.send(&to, &message),
+                },
                 OutboundMessage::Multicast(to, message) => {
                     let own_id = &self.settings.instance.id;
                     for to in to.iter().filter(|id| *id != own_id) {
@@ -112,6 +117,14 @@
                     .on_primary_record(changed_service, from);
                 self.notify_control(ControlEvent::PrimaryRecordChanged { service, record });
             }
+            PeerMessage::Usage(message) => {
+                self.notify_control(ControlEvent::Usage {
+                    from,
+                    incarnation: envelope.incarnation,
+                    message,
+                });
+            }
+            PeerMessage::UsageStatus(status) => self.on_usage_status(&from, &status),
             PeerMessage::PrimaryReleased { service, epoch } => {
                 self.notify_control(ControlEvent::PrimaryReleased { from, service, epoch });
             }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -3,12 +3,16 @@
 mod callers;
 mod messages;
 mod peers;
+mod usage;
 
-use crate::control::{ControlChannels, ControlEvent, ControlHandle, ControlSettings, ControlThread};
+use crate::control::{
+    ControlChannels, ControlEvent, ControlHandle, ControlSettings, ControlThread, UsageContext,
+};
 use crate::metrics::{Metrics, MetricsError};
 use crate::peer::{PeerSocket, ReleaseTargets};
 use crate::rate::RateLimiterState;
 use crate::traffic::{OperationRateLimiter, Pool, PoolSettings, SessionContext, SessionSettings};
+use crate::usage::{FleetClock, SharedFleetClock, UsageSettings};
 use crate::{ClusterSnapshot, Connector, Discovery, Promoter, clock};
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -23,6 +27,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
+use usage::UsageTraffic;
 use wasabiyard_model::{InstanceId, Time, Version};
 use wasabiyard_platform::{ListedInstance, Platform};
 
@@ -64,6 +69,8 @@
     pub runtime: RuntimeSettings,
     /// Longest idle time inside a transaction when the configuration sets none.
     pub transaction_idle: Duration,
+    /// Usage reports; `None` if none are required.
+    pub usage: Option<UsageSettings>,
 }
 
 /// Settings that a running instance can reload.
@@ -113,6 +120,7 @@
     metrics: Rc<Metrics>,
     rate_inputs: RefCell<RateInputs>,
     release_targets: RefCell<ReleaseTargets>,
+    usage: Option<UsageTraffic>,
 }
 
 impl<C> std::fmt::Debug for Gateway<C>
@@ -155,6 +163,14 @@
         let (events, events_rx) = async_channel::bounded(MAX_PENDING_MESSAGES);
         let (outbound_tx, outbound_rx) = async_channel::bounded(MAX_PENDING_MESSAGES);
         let (stop_control, stop) = async_channel::bounded(1);
+        let usage_cx = settings.usage.map(|usage| UsageContext {
+            settings: usage,
+            clock: SharedFleetClock::new(FleetClock::new(clock::wall(), clock::now())),
+            reports: Arc::clone(metrics.usage_reports()),
+        });
+        let usage = usage_cx
+            .as_ref()
+            .map(|cx| UsageTraffic::new(cx, &settings.instance.id));
         let channels = ControlChannels {
             snapshot: Arc::clone(&snapshot),
             snapshot_changed: changed_tx,
@@ -162,6 +178,7 @@
             outbound: outbound_tx,
             stop,
             store_calls: Arc::clone(metrics.store_calls()),
+            usage: usage_cx,
         };
         let control_settings = ControlSettings {
             instance: settings.instance.clone(),
@@ -195,6 +212,7 @@
             rate_limiter: Rc::clone(&rate_limiter),
             metrics: Rc::clone(&metrics),
             executor: Rc::clone(executor),
+            usage: usage.as_ref().map(|usage| Rc::clone(&usage.counter)),
             settings: Cell::new(SessionSettings {
                 key_lifetime: settings.runtime.key_lifetime,
             }),
@@ -217,6 +235,7 @@
             metrics,
             rate_inputs: RefCell::default(),
             release_targets: RefCell::default(),
+            usage,
         });
         executor
             .spawn(Rc::clone(&gateway).follow_snapshots(changed))
@@ -227,6 +246,7 @@
         executor.spawn(Rc::clone(&gateway).receive_from_peers()).detach();
         executor.spawn(Rc::clone(&gateway).heartbeat_loop()).detach();
         executor.spawn(Rc::clone(&gateway).tick_loop()).detach();
+        executor.spawn(Rc::clone(&gateway).usage_loop()).detach();
         Ok(gateway)
     }
 
@@ -284,6 +304,7 @@
         self.wait_for_sessions(transactions_end).await;
         self.close_all_sessions.0.close();
         self.wait_for_sessions(end).await;
+        self.hand_over_usage().await;
         self.stop_control.close();
         if let Some(control) = self.control.take() {
             control.join();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! - `control` reads the store, registers the instance and replaces failed primaries.
 //! - `rate` limits the operations of organisations over all instances.
 //! - `view` replicates what a few instances read from the store to the others.
+//! - `usage` counts operations and decides what is reported of them.
 //! - `peer` carries messages between instances.
 //!
 //! Nothing here knows the protocol of callers and backend servers, or the documents of the store that others write.
@@ -28,6 +29,7 @@
 pub mod rate;
 mod statement;
 pub mod traffic;
+pub mod usage;
 pub mod view;
 
 pub use answer::{Answer, Outcome, TransactionStatus};
@@ -41,7 +43,8 @@
 };
 pub use connection_state::{Adjustment, ConnectionState, SessionValues};
 pub use discovery::{
-    AtRevision, Discovery, Entries, Promoter, PromotionOrder, PromotionResponse, ReadConsistency,
+    AtRevision, Discovery, Entries, Promoter, PromotionOrder, PromotionResponse, ReadConsistency, UsageReport,
+    UsageResponse,
 };
 pub use gateway::{Gateway, GatewaySettings, OpenError, Readiness, RuntimeSettings};
 pub use peer::PeerMessage;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::CallerError;
 use crate::control::{StoreCallKind, StoreCalls};
+use crate::usage::{ReportCounters, ReportEvent};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
@@ -100,6 +101,7 @@
     malformed_messages: Counter<u64>,
     sessions: Arc<AtomicUsize>,
     store_calls: Arc<StoreCalls>,
+    usage_reports: Arc<ReportCounters>,
 }
 
 impl fmt::Debug for Metrics {
@@ -149,6 +151,20 @@
                 }
             })
             .build();
+        let usage_reports = Arc::new(ReportCounters::default());
+        let counted = Arc::clone(&usage_reports);
+        meter
+            .u64_observable_counter("wasabiyard_usage_reports")
+            .with_description("Usage reports by this instance as the holder of the failover lease, by event")
+            .with_callback(move |observer| {
+                for event in ReportEvent::ALL {
+                    let count = counted.count(event);
+                    if count > 0 {
+                        observer.observe(count, &[KeyValue::new("event", event.name())]);
+                    }
+                }
+            })
+            .build();
         Ok(Rc::new(Self {
             statements: counter(
                 "wasabiyard_statements",
@@ -185,6 +201,7 @@
             ),
             sessions,
             store_calls,
+            usage_reports,
             registry,
             _provider: provider,
         }))
@@ -266,6 +283,11 @@
         &self.store_calls
     }
 
+    /// Counters of usage reports, for the control thread.
+    pub const fn usage_reports(&self) -> &Arc<ReportCounters> {
+        &self.usage_reports
+    }
+
     /// Number of connected callers.
     pub fn sessions(&self) -> usize {
         self.sessions.load(Ordering::Relaxed)
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -3,6 +3,7 @@
 use crate::PrimaryRecord;
 use crate::control::ServerContacts;
 use crate::rate::{LinkMessage, TokenRequest, TokenResponse};
+use crate::usage::{UsageMessage, UsageStatus};
 use crate::view::{ViewCursor, ViewPage};
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
@@ -84,6 +85,10 @@
         /// Lowest epoch that the sender may still use.
         epoch: u64,
     },
+    /// Usage counts of the sender. Sent only where usage reports are required.
+    Usage(UsageMessage),
+    /// What the holder of the failover lease has of the usage counts.
+    UsageStatus(UsageStatus),
 }
 
 /// A message with its sender, as authenticated and sent in one datagram.
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -59,6 +59,7 @@
         let mut primary_only = stmt.writes;
         let mut read_failures = 0;
         let mut backoff = RETRY_DELAY;
+        let mut operation = self.new_operation();
         self.cx.pool.on_first_attempt(&route.service);
         loop {
             let requirement = if primary_only {
@@ -81,8 +82,13 @@
             } else {
                 self.read_timeout(&lease, remaining)
             };
+            operation.on_send(now);
             let result = lease.run(stmt.command(req, at_least), timeout).await;
             let now = clock::now();
+            let refused = result
+                .as_ref()
+                .is_ok_and(|answer| answer.failure().is_some_and(CallerError::guarantees_not_run));
+            operation.on_attempt_ended(!refused);
             let expired = now + RETRY_DELAY >= deadline;
             match result {
                 Ok(answer) => match answer.failure() {
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -82,7 +82,13 @@
         if let Err((error, detail)) = self.open_transaction().await {
             return self.fail(error, detail);
         }
-        let Some(Transaction::Open { lease, wrote, route }) = &mut self.transaction else {
+        let Some(Transaction::Open {
+            lease,
+            wrote,
+            operation,
+            route,
+        }) = &mut self.transaction
+        else {
             return self.fail(CallerError::Aborted, "the transaction is gone");
         };
         let deadline = clock::now() + route.timeout.saturating_sub(ANSWER_MARGIN);
@@ -101,6 +107,7 @@
             }
             let remaining = deadline.saturating_since(now);
             let recognises_repeats = lease.recognises_repeats();
+            operation.on_send(now);
             let mut answer = match lease.run(stmt.command(req, None), remaining).await {
                 Ok(answer) => answer,
                 // The server rolls the transaction back when its connection closes. No commit was sent, so the outcome
@@ -110,6 +117,8 @@
                     return self.fail(CallerError::Aborted, lease_error_detail(&e));
                 }
             };
+            let refused = answer.failure().is_some_and(CallerError::guarantees_not_run);
+            operation.on_attempt_ended(!refused);
             *wrote |= stmt.writes;
             if answer.failure().is_some() && !recognises_repeats {
                 // The error may repeat an earlier one, so the statement may have run.
@@ -167,9 +176,11 @@
             match lease.run(cmd, timeout).await {
                 Ok(answer) => match answer.failure() {
                     None => {
+                        let operation = self.new_operation();
                         self.transaction = Some(Transaction::Open {
                             lease,
                             wrote: false,
+                            operation,
                             route,
                         });
                         return Ok(());
@@ -221,6 +232,7 @@
             mut lease,
             wrote,
             route,
+            operation: _,
         }) = self.transaction.take()
         else {
             return Answer::error(
--- a/crates/gateway/src/traffic/session.rs
+++ b/crates/gateway/src/traffic/session.rs
@@ -8,12 +8,13 @@
 use super::transaction::Transaction;
 use crate::connection_state::SessionValues;
 use crate::metrics::{Metrics, StatementKind};
+use crate::usage::{OperationCount, UsageCounter};
 use crate::{
     Answer, CallerError, Connector, Login, Outcome, PreparedStatement, Request, RouteRule, Statement,
     TransactionStatus, clock, event_log,
 };
 use async_executor::LocalExecutor;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -49,6 +50,8 @@
     pub metrics: Rc<Metrics>,
     /// Runs tasks that outlive an answer, such as rollbacks.
     pub executor: Rc<LocalExecutor<'static>>,
+    /// Counts the operations that are sent to backend servers; `None` if no usage reports are required.
+    pub usage: Option<Rc<RefCell<UsageCounter>>>,
     /// Settings in force; replaced when the operator's settings are reloaded.
     pub settings: Cell<SessionSettings>,
 }
@@ -182,6 +185,13 @@
         answer
     }
 
+    /// The count of a new operation. Operations of callers without a key are not counted.
+    pub(super) fn new_operation(&self) -> OperationCount {
+        let counter = self.cx.usage.as_ref();
+        let counter = counter.filter(|_| *self.organisation != *access::ANONYMOUS_ORGANISATION);
+        OperationCount::new(counter.cloned(), Arc::clone(&self.organisation))
+    }
+
     /// Versions and ages of the data that a decision at `now` is based on.
     pub(super) fn decision_basis(&self, now: Time) -> event_log::DecisionBasis {
         event_log::DecisionBasis::new(&self.cx.pool.snapshot(), &self.service, now)
--- a/crates/gateway/src/traffic/transaction.rs
+++ b/crates/gateway/src/traffic/transaction.rs
@@ -1,6 +1,7 @@
 //! A caller's transaction.
 
 use super::connection_lease::ConnectionLease;
+use crate::usage::OperationCount;
 use crate::{Connector, RouteRule};
 use std::fmt;
 use std::sync::Arc;
@@ -26,6 +27,8 @@
         lease: ConnectionLease<C>,
         /// Whether a write was sent.
         wrote: bool,
+        /// Counts the transaction with its first statement.
+        operation: OperationCount,
         /// The route in force at its start.
         route: Arc<RouteRule>,
     },
--- a/crates/gateway/tests/overloaded_transaction.rs
+++ b/crates/gateway/tests/overloaded_transaction.rs
@@ -123,6 +123,7 @@
         rate_limiter: Rc::new(OperationRateLimiter::new(limiter, Box::new(|_, _| {}))),
         metrics,
         executor: Rc::clone(&executor),
+        usage: None,
         settings: Cell::new(SessionSettings {
             key_lifetime: Duration::from_secs(4),
         }),
