--- a/crates/gateway/src/control/failover_lease.rs
+++ b/crates/gateway/src/control/failover_lease.rs
@@ -123,7 +123,10 @@
         if record.renewals == 0 {
             let previous = self.record.as_ref().map(|(_, previous)| previous);
             let after_expiry = previous.is_some_and(|p| !p.released && p.holder != record.holder);
-            self.acquisition = Some(Acquisition { at: now, after_expiry });
+            self.acquisition = Some(Acquisition {
+                at: now,
+                after_expiry,
+            });
         }
         self.record = Some((version, record));
         self.written_version = Some(version);
--- a/crates/gateway/src/control/usage_task.rs
+++ b/crates/gateway/src/control/usage_task.rs
@@ -132,9 +132,7 @@
         let mut complete = None;
         if let (Some(counts), Some(unix_now)) = (&message.counts, usage.unix_time(now)) {
             let window_now = usage.cx.settings.window_of(unix_now);
-            let is_complete = usage
-                .collector
-                .on_counts(&from, incarnation, counts, window_now);
+            let is_complete = usage.collector.on_counts(&from, incarnation, counts, window_now);
             complete = is_complete.then_some(counts.window);
         }
         if let Some(fence) = fence {
@@ -198,12 +196,9 @@
         let own_entry = &self.settings.instance;
         let lease = self.usage.as_ref()?.borrow().cx.settings.lease;
         let state = self.state.borrow();
-        state.failover_lease.held_fence_in_turn(
-            own_entry.id.as_str(),
-            own_entry.incarnation,
-            lease,
-            now,
-        )
+        state
+            .failover_lease
+            .held_fence_in_turn(own_entry.id.as_str(), own_entry.incarnation, lease, now)
     }
 
     async fn read_usage_record(&self) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,8 +43,8 @@
 };
 pub use connection_state::{Adjustment, ConnectionState, SessionValues};
 pub use discovery::{
-    AtRevision, Discovery, Entries, Promoter, PromotionOrder, PromotionResponse, ReadConsistency, UsageReport,
-    UsageResponse,
+    AtRevision, Discovery, Entries, Promoter, PromotionOrder, PromotionResponse, ReadConsistency,
+    UsageReport, UsageResponse,
 };
 pub use gateway::{Gateway, GatewaySettings, OpenError, Readiness, RuntimeSettings};
 pub use peer::PeerMessage;
--- a/crates/gateway/src/usage/clock_agreement.rs
+++ b/crates/gateway/src/usage/clock_agreement.rs
@@ -34,12 +34,13 @@
 
     /// Brings the clock in line with the readings, if there are some of more than half of the live instances.
     pub fn update(&mut self, clock: &mut FleetClock, members: &[ListedInstance], now: Time) {
-        let elapsed = self.updated_at.map_or(Duration::ZERO, |at| now.saturating_since(at));
+        let elapsed = self
+            .updated_at
+            .map_or(Duration::ZERO, |at| now.saturating_since(at));
         let elapsed = elapsed.min(MAX_SLEW_PERIOD);
         self.updated_at = Some(now);
         self.readings.retain(|id, (_, at)| {
-            now.saturating_since(*at) < READING_LIFETIME
-                && members.binary_search_by(|m| m.id.cmp(id)).is_ok()
+            now.saturating_since(*at) < READING_LIFETIME && members.binary_search_by(|m| m.id.cmp(id)).is_ok()
         });
         let mut offsets: Vec<_> = self.readings.values().map(|(offset, _)| *offset).collect();
         if offsets.len() * 2 <= members.len() {
--- a/crates/gateway/src/usage/counter.rs
+++ b/crates/gateway/src/usage/counter.rs
@@ -172,7 +172,9 @@
 
     /// Counts of the windows that are not final, without open operations, so that they never fall.
     pub fn open_windows(&self) -> impl Iterator<Item = (WindowId, &OrganisationCounts)> {
-        self.open_windows.iter().map(|(window, counts)| (*window, &counts.ran))
+        self.open_windows
+            .iter()
+            .map(|(window, counts)| (*window, &counts.ran))
     }
 
     /// The true time at `now`.
@@ -187,7 +189,8 @@
 
     fn window_of_slot(&self, slot: u64, offset: i64) -> WindowId {
         let micros = (slot * SLOT.as_micros() as u64) as i64 + offset;
-        self.settings.window_of(UnixTime::from_micros(micros.max(0) as u64))
+        self.settings
+            .window_of(UnixTime::from_micros(micros.max(0) as u64))
     }
 
     fn assign_slots(&mut self, offset: i64, window_now: WindowId) {
--- a/crates/gateway/src/usage/sender.rs
+++ b/crates/gateway/src/usage/sender.rs
@@ -140,8 +140,8 @@
         };
         let windows = counter.final_windows().iter();
         let windows = windows.filter(|(window, _)| !self.delivered.contains(window));
-        let parts = windows
-            .flat_map(|(window, counts)| split(*window, since, Some(counts.len() as u32), counts));
+        let parts =
+            windows.flat_map(|(window, counts)| split(*window, since, Some(counts.len() as u32), counts));
         let messages = parts.map(|part| UsageMessage {
             sent: now,
             wall,
--- a/crates/gateway/src/usage/settings.rs
+++ b/crates/gateway/src/usage/settings.rs
@@ -45,7 +45,9 @@
     /// Interval between interim counts of an open window. What an instance has counted since its last message is missing if it
     /// is lost; in a larger fleet this is a smaller part of the whole.
     pub fn interim_interval(&self, fleet_size: usize) -> Duration {
-        let tolerated = self.window.mul_f64(self.tolerance * 0.5 * fleet_size.max(1) as f64);
+        let tolerated = self
+            .window
+            .mul_f64(self.tolerance * 0.5 * fleet_size.max(1) as f64);
         let longest = self.window / 2;
         tolerated.clamp(MIN_INTERIM_INTERVAL.min(longest), longest)
     }
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -56,6 +56,7 @@
         ] {
             text = text.replace(&format!("{{{{{field}}}}}"), &value);
         }
+        let text = without_sections(&text);
         let settings = dir.join(format!("{name}.conf"));
         fs::write(&settings, text)?;
         let mut node = Self {
@@ -145,3 +146,20 @@
     }
     Ok(tried?.local_addr()?.port())
 }
+
+/// Leaves out the sections of a template, none of which has a value here.
+fn without_sections(template: &str) -> String {
+    let mut depth = 0;
+    let mut text = String::new();
+    for line in template.lines() {
+        if line.starts_with("{{#") {
+            depth += 1;
+        } else if line.starts_with("{{/") {
+            depth -= 1;
+        } else if depth == 0 {
+            text.push_str(line);
+            text.push('\n');
+        }
+    }
+    text
+}
