--- a/crates/gateway/src/control/usage_task.rs
+++ b/crates/gateway/src/control/usage_task.rs
@@ -293,14 +293,14 @@
             UsageResponse::Accepted => {
                 let unix_now = usage.unix_time(now);
                 let end = usage.cx.settings.end_of(window);
-                let after_ms = unix_now.map(|t| t.saturating_since(end).as_millis() as u64);
+                let took = unix_now.map_or(Duration::ZERO, |t| t.saturating_since(end));
                 usage.cx.reports.on_event(ReportEvent::Accepted);
                 if unix_now.is_some_and(|t| t > usage.cx.settings.due(window)) {
                     usage.cx.reports.on_event(ReportEvent::Late);
                 }
                 log::info!(
                     window:% = window, fence, organisations = record.counts.len(),
-                    operations = record.counts.values().sum::<u64>(), after_ms:? = after_ms;
+                    operations = record.counts.values().sum::<u64>(), after_ms = took.as_millis() as u64;
                     "usage report accepted"
                 );
                 usage.reporter.on_accepted(window);
--- a/crates/gateway/src/traffic/backend_statement.rs
+++ b/crates/gateway/src/traffic/backend_statement.rs
@@ -20,6 +20,11 @@
         }
     }
 
+    /// Definition that must be prepared on the connection.
+    pub(super) fn definition(&self) -> Option<&PreparedStatement> {
+        self.prepared_call.as_ref().map(|(definition, _)| definition)
+    }
+
     pub(super) fn command<'a>(&'a self, req: &'a Request, at_least: Option<LogPoint>) -> Command<'a> {
         match &self.prepared_call {
             None => Command::Forward {
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -4,6 +4,7 @@
 use super::pool::Pool;
 use crate::connection_state::{ConnectionState, MAX_PREPARED_STATEMENTS, SessionValues};
 use crate::metrics::StrayCause;
+use crate::usage::OperationCount;
 use crate::{
     Answer, CallerError, Command, ConnectionError, Connector, PreparedStatement, TransactionStatus, clock,
     event_log,
@@ -104,6 +105,20 @@
         }
     }
 
+    /// The same for a statement that starts an operation or belongs to one, which is counted unless the server refuses it.
+    pub(super) async fn run_operation(
+        &mut self,
+        cmd: Command<'_>,
+        timeout: Duration,
+        operation: &mut OperationCount,
+    ) -> Result<Answer, LeaseError> {
+        operation.on_send(clock::now());
+        let result = self.run(cmd, timeout).await;
+        let failure = result.as_ref().map(Answer::failure).unwrap_or_default();
+        operation.on_attempt_ended(!failure.is_some_and(CallerError::guarantees_not_run));
+        result
+    }
+
     /// Makes the session values of the connection equal to `values`. Values that `values` lacks can only be removed by
     /// a reset.
     pub(super) async fn apply_session_values(&mut self, values: &SessionValues) -> Result<(), LeaseError> {
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -67,28 +67,22 @@
             } else {
                 self.read_requirement(route, received_at)
             };
-            let definition = stmt.prepared_call.as_ref().map(|(definition, _)| definition);
             let (mut lease, at_least) = match self
-                .lease_ready_connection(route, requirement, definition, deadline)
+                .lease_ready_connection(route, requirement, stmt.definition(), deadline)
                 .await
             {
                 Ok(ready) => ready,
                 Err((error, detail)) => return Answer::error(error, detail, TransactionStatus::Idle),
             };
-            let now = clock::now();
-            let remaining = deadline.saturating_since(now);
+            let remaining = deadline.saturating_since(clock::now());
             let timeout = if stmt.writes {
                 remaining
             } else {
                 self.read_timeout(&lease, remaining)
             };
-            operation.on_send(now);
-            let result = lease.run(stmt.command(req, at_least), timeout).await;
+            let cmd = stmt.command(req, at_least);
+            let result = lease.run_operation(cmd, timeout, &mut operation).await;
             let now = clock::now();
-            let refused = result
-                .as_ref()
-                .is_ok_and(|answer| answer.failure().is_some_and(CallerError::guarantees_not_run));
-            operation.on_attempt_ended(!refused);
             let expired = now + RETRY_DELAY >= deadline;
             match result {
                 Ok(answer) => match answer.failure() {
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -107,8 +107,8 @@
             }
             let remaining = deadline.saturating_since(now);
             let recognises_repeats = lease.recognises_repeats();
-            operation.on_send(now);
-            let mut answer = match lease.run(stmt.command(req, None), remaining).await {
+            let cmd = stmt.command(req, None);
+            let mut answer = match lease.run_operation(cmd, remaining, operation).await {
                 Ok(answer) => answer,
                 // The server rolls the transaction back when its connection closes. No commit was sent, so the outcome
                 // is certain.
@@ -117,8 +117,6 @@
                     return self.fail(CallerError::Aborted, lease_error_detail(&e));
                 }
             };
-            let refused = answer.failure().is_some_and(CallerError::guarantees_not_run);
-            operation.on_attempt_ended(!refused);
             *wrote |= stmt.writes;
             if answer.failure().is_some() && !recognises_repeats {
                 // The error may repeat an earlier one, so the statement may have run.
@@ -176,7 +174,7 @@
             match lease.run(cmd, timeout).await {
                 Ok(answer) => match answer.failure() {
                     None => {
-                        let operation = self.new_operation();
+                        let operation = Box::new(self.new_operation());
                         self.transaction = Some(Transaction::Open {
                             lease,
                             wrote: false,
@@ -232,7 +230,7 @@
             mut lease,
             wrote,
             route,
-            operation: _,
+            ..
         }) = self.transaction.take()
         else {
             return Answer::error(
--- a/crates/gateway/src/traffic/transaction.rs
+++ b/crates/gateway/src/traffic/transaction.rs
@@ -28,7 +28,7 @@
         /// Whether a write was sent.
         wrote: bool,
         /// Counts the transaction with its first statement.
-        operation: OperationCount,
+        operation: Box<OperationCount>,
         /// The route in force at its start.
         route: Arc<RouteRule>,
     },
--- a/crates/gateway/src/usage/clock_agreement.rs
+++ b/crates/gateway/src/usage/clock_agreement.rs
@@ -1,7 +1,7 @@
 //! The time on which the fleet agrees, formed by the holder of the failover lease.
 //!
 //! It is the median of what the instances take for the time of day, so a clock that jumps does not move it. Once formed it only
-//! follows the median slowly, and steps only when it rests on more than twice as many instances as before, as at the start of a fleet.
+//! follows the median slowly, and steps only when it rests on more instances than ever before, as at the start of a fleet.
 
 use super::UnixTime;
 use super::fleet_clock::{FleetClock, offset_between};
@@ -17,6 +17,9 @@
 /// Longest time between two updates that counts for that, for an instance that becomes the holder again.
 const MAX_SLEW_PERIOD: Duration = Duration::from_secs(1);
 
+/// Smallest step of the time that is logged.
+const MIN_LOGGED_STEP_MS: i64 = 50;
+
 /// Readings of the instances.
 #[derive(Debug, Default)]
 pub struct ClockAgreement {
@@ -50,14 +53,16 @@
         let median = i64::midpoint(offsets[(offsets.len() - 1) / 2], offsets[offsets.len() / 2]);
         let support = offsets.len() as u32;
         match clock.support() {
-            Some(known) if support <= known * 2 => {
+            Some(known) if support <= known => {
                 let max_step = (elapsed.as_secs_f64() * MAX_SLEW_MICROS_PER_S) as i64;
                 let step = (median - clock.offset()).clamp(-max_step, max_step);
                 clock.set_offset(clock.offset() + step, known);
             }
             _ => {
                 let moved_ms = (median - clock.offset()) / 1_000;
-                log::info!(instances = support, moved_ms; "agreed on the time of usage windows");
+                if moved_ms.abs() >= MIN_LOGGED_STEP_MS {
+                    log::info!(instances = support, moved_ms; "corrected the time of usage windows");
+                }
                 clock.set_offset(median, support);
             }
         }
--- a/crates/gateway/src/usage/window_id.rs
+++ b/crates/gateway/src/usage/window_id.rs
@@ -9,11 +9,13 @@
 
 impl WindowId {
     /// The window `count` windows later.
+    #[must_use]
     pub const fn plus(self, count: u64) -> Self {
         Self(self.0.saturating_add(count))
     }
 
     /// The window `count` windows earlier.
+    #[must_use]
     pub const fn minus(self, count: u64) -> Self {
         Self(self.0.saturating_sub(count))
     }
--- a/crates/gateway/tests/usage_counts.rs
+++ b/crates/gateway/tests/usage_counts.rs
@@ -17,7 +17,7 @@
     window: Duration::from_secs(5),
     delay: Duration::from_secs(10),
     tolerance: 0.05,
-    lease: Duration::from_millis(3_000),
+    lease: Duration::from_secs(3),
 };
 /// Start of window 1,000 in true time, and on the clock of the process.
 const START_UNIX: UnixTime = UnixTime::from_micros(5_000_000_000);
@@ -151,7 +151,7 @@
         }
         agreement.update(&mut holder_clock, &members, at_ms(seconds * 1_000));
     }
-    let wall = START_UNIX + Duration::from_secs(660);
+    let wall = START_UNIX + Duration::from_mins(11);
     let error = holder_clock.unix_time(at_ms(660_000)).saturating_since(wall);
     assert!(error < Duration::from_millis(50), "{error:?}");
 }
@@ -160,7 +160,7 @@
 #[test]
 fn the_time_needs_most_instances_and_improves_with_them() {
     let members = ["a", "b", "c"].map(|id| member(id, 1));
-    let wrong = START_UNIX + Duration::from_secs(60);
+    let wrong = START_UNIX + Duration::from_mins(1);
     let mut clock = FleetClock::new(wrong, START);
     let mut agreement = ClockAgreement::default();
     agreement.on_reading(&members[0].id, wrong, START);
--- a/crates/gateway/tests/usage_reports.rs
+++ b/crates/gateway/tests/usage_reports.rs
@@ -17,7 +17,7 @@
     window: Duration::from_secs(5),
     delay: Duration::from_secs(10),
     tolerance: 0.05,
-    lease: Duration::from_millis(3_000),
+    lease: Duration::from_secs(3),
 };
 const FIRST: WindowId = WindowId(1_000);
 
