--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -59,6 +59,7 @@
         let mut primary_only = stmt.writes;
         let mut read_failures = 0;
         let mut backoff = RETRY_DELAY;
+        let mut operation = self.new_operation();
         self.cx.pool.on_first_attempt(&route.service);
         loop {
             let requirement = if primary_only {
@@ -66,22 +67,21 @@
             } else {
                 self.read_requirement(route, received_at)
             };
-            let definition = stmt.prepared_call.as_ref().map(|(definition, _)| definition);
             let (mut lease, at_least) = match self
-                .lease_ready_connection(route, requirement, definition, deadline)
+                .lease_ready_connection(route, requirement, stmt.definition(), deadline)
                 .await
             {
                 Ok(ready) => ready,
                 Err((error, detail)) => return Answer::error(error, detail, TransactionStatus::Idle),
             };
-            let now = clock::now();
-            let remaining = deadline.saturating_since(now);
+            let remaining = deadline.saturating_since(clock::now());
             let timeout = if stmt.writes {
                 remaining
             } else {
                 self.read_timeout(&lease, remaining)
             };
-            let result = lease.run(stmt.command(req, at_least), timeout).await;
+            let cmd = stmt.command(req, at_least);
+            let result = lease.run_operation(cmd, timeout, &mut operation).await;
             let now = clock::now();
             let expired = now + RETRY_DELAY >= deadline;
             match result {
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -82,7 +82,13 @@
         if let Err((error, detail)) = self.open_transaction().await {
             return self.fail(error, detail);
         }
-        let Some(Transaction::Open { lease, wrote, route }) = &mut self.transaction else {
+        let Some(Transaction::Open {
+            lease,
+            wrote,
+            operation,
+            route,
+        }) = &mut self.transaction
+        else {
             return self.fail(CallerError::Aborted, "the transaction is gone");
         };
         let deadline = clock::now() + route.timeout.saturating_sub(ANSWER_MARGIN);
@@ -101,7 +107,8 @@
             }
             let remaining = deadline.saturating_since(now);
             let recognises_repeats = lease.recognises_repeats();
-            let mut answer = match lease.run(stmt.command(req, None), remaining).await {
+            let cmd = stmt.command(req, None);
+            let mut answer = match lease.run_operation(cmd, remaining, operation).await {
                 Ok(answer) => answer,
                 // The server rolls the transaction back when its connection closes. No commit was sent, so the outcome
                 // is certain.
@@ -167,9 +174,11 @@
             match lease.run(cmd, timeout).await {
                 Ok(answer) => match answer.failure() {
                     None => {
+                        let operation = Box::new(self.new_operation());
                         self.transaction = Some(Transaction::Open {
                             lease,
                             wrote: false,
+                            operation,
                             route,
                         });
                         return Ok(());
@@ -221,6 +230,7 @@
             mut lease,
             wrote,
             route,
+            ..
         }) = self.transaction.take()
         else {
             return Answer::error(
