Decode the time for which a backend server warms up

The entry of a server names it, and it was dropped. It is an optional field of the server in messages between instances, left out while zero, so that builds with and without it exchange views.

--- a/crates/gateway/src/backend_server.rs
+++ b/crates/gateway/src/backend_server.rs
@@ -32,4 +32,16 @@
     pub role: Role,
     /// Wall-clock time of its start in milliseconds; distinguishes two runs under one id.
     pub started_ms: u64,
+    /// Time for which the server reports that it still warms up, in milliseconds. Builds before this field neither
+    /// send nor expect it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub warmup_left_ms: u32,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde requires"
+)]
+const fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -21,6 +21,7 @@
         draining: false,
         role,
         started_ms: 1,
+        warmup_left_ms: 0,
     })
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -31,6 +31,7 @@
         draining: false,
         role: Role::Primary,
         started_ms: 1,
+        warmup_left_ms: 0,
     };
     let mut snapshot = ClusterSnapshot {
         records_as_of: as_of,
