Limit the pace at a server that has started or recovered

Cause: the statements that have piled up at some 85 instances are sent to a server of 4 slots and 32 queue places at once. Most are refused, and the connections of the refused ones take most of its slots. The limit of statements in flight cannot help, since one from each instance is already too many.

A statement whose turn comes too late is refused at once.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::CallerError;
 use crate::control::{StoreCallKind, StoreCalls};
+use crate::traffic::PaceEvent;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
@@ -97,6 +98,8 @@
     retries: Counter<u64>,
     logins_refused: Counter<u64>,
     stray_answers: Counter<u64>,
+    paces: Counter<u64>,
+    pace_refusals: Counter<u64>,
     malformed_messages: Counter<u64>,
     sessions: Arc<AtomicUsize>,
     store_calls: Arc<StoreCalls>,
@@ -179,6 +182,14 @@
                 "wasabiyard_stray_answers",
                 "Answers of backend servers that belong to no command, by service and cause",
             ),
+            paces: counter(
+                "wasabiyard_paces",
+                "Limited paces at backend servers that began or ended, by service, event and cause",
+            ),
+            pace_refusals: counter(
+                "wasabiyard_pace_refusals",
+                "Statements refused because the pace at their server cannot serve them in time, by service",
+            ),
             malformed_messages: counter(
                 "wasabiyard_malformed_messages",
                 "Messages of callers that violate the protocol, by service",
@@ -245,6 +256,24 @@
         self.stray_answers.add(u64::from(count), &[service, cause]);
     }
 
+    /// Records the begin or end of a limited pace at a backend server.
+    pub fn on_pace(&self, service: &str, event: &PaceEvent) {
+        let service = KeyValue::new("service", service.to_owned());
+        let (event, cause) = match event {
+            PaceEvent::Began { cause, .. } => ("began", cause.name()),
+            PaceEvent::Ended { cause, .. } => ("ended", cause.name()),
+        };
+        let event = KeyValue::new("event", event);
+        self.paces
+            .add(1, &[service, event, KeyValue::new("cause", cause)]);
+    }
+
+    /// Records a statement that is refused because the pace at its server cannot serve it in time.
+    pub fn on_pace_refusal(&self, service: &str) {
+        self.pace_refusals
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Records a message of a caller that violates the protocol.
     pub fn on_malformed_message(&self, service: &str) {
         let service = KeyValue::new("service", service.to_owned());
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -120,7 +120,7 @@
                 .borrow_mut()
                 .entry(Arc::clone(service))
                 .or_insert_with(ServicePool::new)
-                .update(service, snapshot, now);
+                .update(service, snapshot, now, &mut *self.rng.borrow_mut());
             self.update_primary(service, snapshot, now);
             self.dispatch(service, now);
         }
@@ -135,6 +135,7 @@
             self.update_primary(service, &snapshot, now);
             self.dispatch(service, now);
             self.close_idle(service, now);
+            self.report_paces(service, now);
         }
     }
 
@@ -256,7 +257,8 @@
         if let Some(server) = pool.servers.get_mut(&lease.server) {
             server.on_point(point);
             if answer.failure() != Some(CallerError::Busy) {
-                server.on_answer(now.saturating_since(sent_at), is_statement, now);
+                let mut rng = self.rng.borrow_mut();
+                server.on_answer(now.saturating_since(sent_at), is_statement, now, &mut *rng);
             }
         }
     }
@@ -293,6 +295,7 @@
         self.with_server(&lease.service, &lease.server, |s| {
             s.latency.on_overloaded();
             s.health.on_overloaded(s.in_use, now, &mut *rng);
+            s.pace.on_overloaded(now);
         });
     }
 
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -89,6 +89,13 @@
         let ahead = pool
             .queue(queue_kind)
             .requests_ahead(lease_request.organisation, 1, lease_request.class);
+        let turn = pool.paced_turn(queue_kind, ahead, now);
+        if turn >= wait_deadline {
+            self.metrics.on_pace_refusal(lease_request.service);
+            return Err(PoolError::Overloaded {
+                retry_after: turn.saturating_since(now),
+            });
+        }
         let connections = pool.connection_capacity(queue_kind);
         if !pool.queue(queue_kind).is_empty() {
             let admission = pool.admission(queue_kind);
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -1,12 +1,14 @@
 //! The connections of this instance to one backend server, and the measured state of that server.
 
 use super::ordered_connection::OrderedConnection;
+use super::pace::{PaceShare, ServerPace};
 use super::placement::ReplicaLag;
 use super::server_health::ServerHealth;
 use super::server_latency::ServerLatency;
 use crate::BackendServer;
 use crate::connection_state::ConnectionState;
 use async_channel::{Receiver, Sender};
+use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{LogPoint, Time};
@@ -33,14 +35,16 @@
     pub(super) applied: Option<LogPoint>,
     pub(super) lag: ReplicaLag,
     pub(super) health: ServerHealth,
+    pub(super) pace: ServerPace,
     /// Closing the channel revokes the leases, which hold clones of the receiver.
     revocation: (Sender<()>, Receiver<()>),
 }
 
 impl<C> ServerPool<C> {
-    pub(super) fn new(server: Arc<BackendServer>) -> Self {
+    pub(super) fn new(server: Arc<BackendServer>, pace: ServerPace) -> Self {
         Self {
             server,
+            pace,
             idle: Vec::new(),
             in_use: 0,
             latency: ServerLatency::default(),
@@ -55,6 +59,7 @@
     pub(super) fn available(&self, limit: u32, now: Time) -> bool {
         self.in_use < limit
             && self.health.allows_request(self.in_use, now)
+            && self.pace.allows_statement(now)
             && (!self.idle.is_empty() || self.health.allows_connect(now))
     }
 
@@ -87,10 +92,14 @@
 
     /// Records an answer other than a refusal as overloaded. Only the answer to a statement shows that the server is
     /// healthy.
-    pub(super) fn on_answer(&mut self, took: Duration, is_statement: bool, now: Time) {
+    pub(super) fn on_answer<R>(&mut self, took: Duration, is_statement: bool, now: Time, rng: &mut R)
+    where
+        R: Rng,
+    {
         self.latency.on_answer(took);
         if is_statement {
             self.health.on_answer(now);
+            self.pace.on_answer(took, now, rng);
         }
     }
 
@@ -106,6 +115,7 @@
         if self.health.on_failure(started, now) {
             // The idle connections may be broken by the same failure.
             self.idle.clear();
+            self.pace.on_failure(started, now);
         }
     }
 
@@ -125,3 +135,13 @@
         self.revocation = async_channel::bounded(1);
     }
 }
+
+/// The part of this instance at a server, in a fleet of `instances`.
+pub(super) fn pace_share(server: &BackendServer, instances: usize) -> PaceShare {
+    PaceShare {
+        capacity: server.capacity,
+        instances,
+        senders: instances,
+        warmup_left: Duration::from_millis(u64::from(server.warmup_left_ms)),
+    }
+}
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,9 +1,10 @@
 //! The connections of one service, and the queues of requests that wait for them.
 
 use super::connection_limits::ConnectionLimits;
+use super::pace::ServerPace;
 use super::placement::{Candidate, choose_server};
 use super::requirement::ServerRequirement;
-use super::server_pool::{IdleConnection, ServerPool};
+use super::server_pool::{IdleConnection, ServerPool, pace_share};
 use crate::connection_state::{ConnectionState, SessionValues};
 use crate::{ClusterSnapshot, PrimaryView};
 use async_channel::Sender;
@@ -101,25 +102,38 @@
     }
 
     /// Applies the servers, limits and failure domains of a new cluster snapshot to the service.
-    pub(super) fn update(&mut self, service: &str, snapshot: &ClusterSnapshot, now: Time) {
+    pub(super) fn update<G>(&mut self, service: &str, snapshot: &ClusterSnapshot, now: Time, rng: &mut G)
+    where
+        G: Rng,
+    {
+        // A server of the first list did not start just now, as far as this instance knows.
+        let is_first_list = self.servers.is_empty();
         let listed = snapshot.servers.values().filter(|s| *s.service == *service);
         for server in listed {
             self.unlisted.remove(&server.id);
+            let share = pace_share(server, snapshot.fleet_size());
             match self.servers.get_mut(&server.id) {
                 Some(known)
                     if known.server.address == server.address
                         && known.server.started_ms == server.started_ms =>
                 {
                     known.server = Arc::clone(server);
+                    known.pace.set_share(share, now);
                 }
                 Some(known) => {
                     known.revoke();
                     let in_use = known.in_use;
-                    *known = ServerPool::new(Arc::clone(server));
+                    known.pace.set_share(share, now);
+                    known.pace.on_started(now, rng);
+                    *known = ServerPool::new(Arc::clone(server), known.pace.clone());
                     known.in_use = in_use;
                 }
                 None => {
-                    let pool = ServerPool::new(Arc::clone(server));
+                    let mut pace = ServerPace::new(share);
+                    if !is_first_list {
+                        pace.on_started(now, rng);
+                    }
+                    let pool = ServerPool::new(Arc::clone(server), pace);
                     self.servers.insert(Arc::clone(&server.id), pool);
                 }
             }
@@ -217,6 +231,21 @@
         primary.map_or(Time::ZERO, |p| p.health.overload_pause_until())
     }
 
+    /// When the pace of the servers lets a request start that comes after `ahead` others of its queue.
+    pub(super) fn paced_turn(&self, queue_kind: QueueKind, ahead: usize, now: Time) -> Time {
+        let turn = |id: &Arc<str>, ahead| self.servers.get(id).map(|p| p.pace.turn(ahead, now));
+        let turn = match queue_kind {
+            QueueKind::Primary => self.usable_primary().and_then(|(id, _)| turn(id, ahead)),
+            QueueKind::Reads => {
+                let servers = self.read_servers().count().max(1);
+                self.read_servers()
+                    .filter_map(|id| turn(id, ahead / servers))
+                    .min()
+            }
+        };
+        turn.unwrap_or(now)
+    }
+
     /// The queue for a request: that of the primary, unless a replica is expected to have reached the required log
     /// point.
     pub(super) fn queue_kind(&self, requirement: ServerRequirement, now: Time) -> QueueKind {
@@ -284,7 +313,7 @@
             return None;
         }
         let (queued, waiter) = self.primary_queue.pop(now)?;
-        Some(self.assign(queued, waiter, id))
+        Some(self.assign(queued, waiter, id, now))
     }
 
     fn next_read_assignment<G>(&mut self, domain: &str, now: Time, rng: &mut G) -> Option<Assignment<C, R>>
@@ -301,7 +330,7 @@
             .map(|id| self.candidate(id, &waiter, domain, now))
             .collect();
         let chosen = choose_server(&candidates, rng).expect("an available server");
-        Some(self.assign(queued, waiter, Arc::clone(&ids[chosen])))
+        Some(self.assign(queued, waiter, Arc::clone(&ids[chosen]), now))
     }
 
     /// Servers for queued reads. The primary is left out while requests wait in its own queue.
@@ -338,7 +367,13 @@
         }
     }
 
-    fn assign(&mut self, queued: QueuedRequest, waiter: Waiter<R>, server: Arc<str>) -> Assignment<C, R> {
+    fn assign(
+        &mut self,
+        queued: QueuedRequest,
+        waiter: Waiter<R>,
+        server: Arc<str>,
+        now: Time,
+    ) -> Assignment<C, R> {
         let limit = self.limits.max_open;
         let pool = self.servers.get_mut(&server).expect("a known server");
         let values = &waiter.values;
@@ -353,6 +388,7 @@
             ConnectionSource::Connect
         };
         pool.in_use += 1;
+        pool.pace.on_sent(now);
         Assignment {
             queued,
             waiter,
