Read the regions of the failure domains from the settings

The platform names the region of each failure domain; the template renders them into a section that is empty elsewhere. The stand-in of the review renders the template and drops sections now, as the platform does where it has no value.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -4,7 +4,7 @@
 use super::state::ControlState;
 use super::store_calls::StoreCalls;
 use crate::view::{ViewCursor, ViewPage};
-use crate::{ClusterSnapshot, Connector, Discovery, PeerMessage, PrimaryRecord, Promoter, clock};
+use crate::{ClusterSnapshot, Connector, Discovery, PeerMessage, PrimaryRecord, Promoter, Regions, clock};
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -73,6 +73,8 @@
 pub struct ControlSettings {
     /// Entry that this instance writes to the instance registry.
     pub instance: ListedInstance,
+    /// Regions of the failure domains.
+    pub regions: Regions,
 }
 
 /// Channels and shared state between the control thread and the traffic thread.
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 use crate::peer::{PeerSocket, ReleaseTargets};
 use crate::rate::RateLimiterState;
 use crate::traffic::{OperationRateLimiter, Pool, PoolSettings, SessionContext, SessionSettings};
-use crate::{ClusterSnapshot, Connector, Discovery, Promoter, clock};
+use crate::{ClusterSnapshot, Connector, Discovery, Promoter, Regions, clock};
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -60,6 +60,8 @@
     pub instance: ListedInstance,
     /// Address of the datagram socket for peers.
     pub peers: SocketAddr,
+    /// Regions of the failure domains.
+    pub regions: Regions,
     /// Settings that can be changed while the instance runs.
     pub runtime: RuntimeSettings,
     /// Longest idle time inside a transaction when the configuration sets none.
@@ -165,6 +167,7 @@
         };
         let control_settings = ControlSettings {
             instance: settings.instance.clone(),
+            regions: settings.regions.clone(),
         };
         let registration = &settings.instance;
         let socket = Rc::new(PeerSocket::bind(
@@ -177,6 +180,7 @@
             connector,
             PoolSettings {
                 domain: Arc::from(registration.domain.as_str()),
+                regions: settings.regions.clone(),
                 seed: registration.incarnation.0,
             },
             Rc::clone(&metrics),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer;
 mod primary_record;
 pub mod rate;
+mod regions;
 mod statement;
 pub mod traffic;
 pub mod view;
@@ -46,4 +47,5 @@
 pub use gateway::{Gateway, GatewaySettings, OpenError, Readiness, RuntimeSettings};
 pub use peer::PeerMessage;
 pub use primary_record::{Leadership, PrimaryRecord};
+pub use regions::Regions;
 pub use statement::{PreparedStatement, Request, Statement};
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -6,7 +6,7 @@
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
 use crate::metrics::Metrics;
-use crate::{Answer, CallerError, ClusterSnapshot, Connector};
+use crate::{Answer, CallerError, ClusterSnapshot, Connector, Regions};
 use async_executor::LocalExecutor;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -22,6 +22,8 @@
 pub struct PoolSettings {
     /// Failure domain of this instance.
     pub domain: Arc<str>,
+    /// Regions of the failure domains.
+    pub regions: Regions,
     /// Seed of the random choices between servers.
     pub seed: u64,
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use wasabiyard_gateway::metrics::Metrics;
 use wasabiyard_gateway::traffic::{Pool, PoolSettings};
-use wasabiyard_gateway::{BackendServer, ClusterSnapshot, Connector, PrimaryRecord, Role};
+use wasabiyard_gateway::{BackendServer, ClusterSnapshot, Connector, PrimaryRecord, Regions, Role};
 use wasabiyard_model::Time;
 
 /// A pool without servers.
@@ -15,6 +15,7 @@
 {
     let settings = PoolSettings {
         domain: "riga-a".into(),
+        regions: Regions::default(),
         seed: 1,
     };
     Pool::new(connector, settings, Rc::clone(metrics), Rc::clone(executor))
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -56,6 +56,12 @@
         ] {
             text = text.replace(&format!("{{{{{field}}}}}"), &value);
         }
+        // The platform renders a section only if there is a value for it.
+        while let Some(start) = text.find("{{#") {
+            let end = text[start..].find("{{/").expect("the end of a section") + start;
+            let end = text[end..].find("}}").expect("the end of a field") + end + 2;
+            text.replace_range(start..end, "");
+        }
         let settings = dir.join(format!("{name}.conf"));
         fs::write(&settings, text)?;
         let mut node = Self {
