Keep reads in their region by measured round trips

Cause: placement knew this failure domain and elsewhere. The smoothed latency of statements contains the round trip, but with one statement running at the near server the idle one in the other region had the lower score, so reads crossed under light load.

The shortest logins and session commands of each region are compared with those of the own region; the difference counts four times in the score. In one region it is zero, and the scores are the former ones. Ruled out: a flag for the other region, which would treat regions 2 ms and 80 ms apart alike; the latency of statements, of which execution is the larger part.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -129,6 +129,14 @@
         )
     }
 
+    /// Whether the command occupies no execution slot at the backend server, so that its answer takes a round trip.
+    pub const fn takes_no_slot(&self) -> bool {
+        matches!(
+            self,
+            Self::Set { .. } | Self::Reset | Self::Prepare { .. } | Self::Rollback
+        )
+    }
+
     /// The caller's id of the statement; `None` for a command of the instance.
     pub const fn request_id(&self) -> Option<&str> {
         match self {
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -2,6 +2,7 @@
 
 use super::ordered_connection::OrderedConnection;
 use super::pool::Pool;
+use super::region_distances::RoundTripKind;
 use crate::connection_state::{ConnectionState, MAX_PREPARED_STATEMENTS, SessionValues};
 use crate::metrics::StrayCause;
 use crate::{
@@ -87,6 +88,16 @@
             Ok(answer) => {
                 self.conn = Some(conn);
                 self.in_transaction = answer.transaction_status != TransactionStatus::Idle;
+                if cmd.takes_no_slot() {
+                    let took = now.saturating_since(sent_at);
+                    self.pool.on_round_trip(
+                        &self.service,
+                        &self.server,
+                        RoundTripKind::SessionCommand,
+                        took,
+                        now,
+                    );
+                }
                 self.pool
                     .on_answer(self, sent_at, &answer, cmd.is_statement(), now);
                 Ok(answer)
--- a/crates/gateway/src/traffic/pace.rs
+++ b/crates/gateway/src/traffic/pace.rs
@@ -32,6 +32,9 @@
 const SLOW_FACTOR: u32 = 4;
 /// See [`SLOW_FACTOR`]. Execution times of the statements of one server differ by tens of milliseconds.
 const MIN_SLOW_EXCESS: Duration = Duration::from_millis(50);
+/// Window of the server's own best. A server that has become slower for good is compared with its new self after one to
+/// two of these.
+const BEST_WINDOW: Duration = Duration::from_secs(2);
 /// Time without a refusal, failure or slow answer after which the pace ends.
 const PROVING_TIME: Duration = Duration::from_secs(1);
 /// Quick answers that the pace needs to end.
@@ -279,7 +282,7 @@
         self.pace = Some(Pace {
             began: now,
             bucket: PaceBucket::new(rate, now, rng),
-            best: RecentMinimum::default(),
+            best: RecentMinimum::over(BEST_WINDOW),
             last_decrease: now,
             good_since: None,
             quick_answers: 0,
--- a/crates/gateway/src/traffic/placement.rs
+++ b/crates/gateway/src/traffic/placement.rs
@@ -9,6 +9,9 @@
 const PRIMARY_SCORE_FACTOR: f64 = 3.0;
 /// Factor on the score of a server in another failure domain.
 const REMOTE_SCORE_FACTOR: f64 = 1.05;
+/// Cost of a statement that leaves the region, in addition to its time, as a multiple of the longer round trip. What crosses
+/// between regions also costs bytes, so a server there must be faster by this much.
+const CROSSING_COST_FACTOR: f64 = 4.0;
 /// Largest random increase of a score, as a fraction of it, so that instances with the same information do not all
 /// choose the same server.
 const SCORE_JITTER: f64 = 0.15;
@@ -30,6 +33,9 @@
     pub primary: bool,
     /// Whether it is in the failure domain of this instance.
     pub local: bool,
+    /// How much longer a round trip to the server takes than one within the region of this instance; zero if there is only
+    /// one region.
+    pub distance: Duration,
     /// Smoothed latency of statements at the server.
     pub latency: Duration,
     /// Connections of this instance to the server that are leased or being opened.
@@ -64,6 +70,8 @@
     if !c.has_idle_connection {
         score += latency * CONNECT_COST_FACTOR;
     }
+    // The smoothed latency contains the round trip once.
+    score += c.distance.as_secs_f64() * CROSSING_COST_FACTOR;
     if !c.holds_point {
         // The server would refuse the statement, which costs a round trip before it is placed again. Scores are
         // in seconds and usually far below this constant, so such a server is the last choice.
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection_lease::ConnectionLease;
 use super::ordered_connection::OrderedConnection;
+use super::region_distances::RegionDistances;
 use super::service_pool::{QueueKind, ServicePool};
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
@@ -63,6 +64,8 @@
     pub(super) snapshot: RefCell<Arc<ClusterSnapshot>>,
     pub(super) services: RefCell<Services<C>>,
     pub(super) rng: RefCell<SmallRng>,
+    /// Round trips to the regions; `None` if there is only one.
+    pub(super) distances: RefCell<Option<RegionDistances>>,
     /// For each service, the epoch of the newest primary record such that this instance uses no primary of a lower
     /// epoch.
     pub(super) released: RefCell<HashMap<Arc<str>, u64>>,
@@ -91,7 +94,12 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let rng = RefCell::new(SmallRng::seed_from_u64(settings.seed));
+        let distances = settings
+            .regions
+            .own()
+            .map(|own| RegionDistances::new(Arc::clone(own)));
         Rc::new(Self {
+            distances: RefCell::new(distances),
             connector,
             settings,
             metrics,
--- a/crates/gateway/src/traffic/pool_connect.rs
+++ b/crates/gateway/src/traffic/pool_connect.rs
@@ -4,6 +4,7 @@
 use super::pool::{LeaseResult, Pool, PoolError};
 use super::pool_queue::deliver_lease;
 use super::primary_wait::{check_primary_wait, queue_error};
+use super::region_distances::RoundTripKind;
 use super::service_pool::{QueueKind, Waiter};
 use crate::connection_state::ConnectionState;
 use crate::metrics::ConnectResult;
@@ -50,6 +51,8 @@
                     s.on_point(point);
                     s.health.on_connected();
                 });
+                let took = now.saturating_since(started);
+                self.on_round_trip(&service, &server, RoundTripKind::Login, took, now);
                 let connection_state = ConnectionState::default();
                 let lease = self.new_lease(
                     &service,
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -128,7 +128,9 @@
                 let Some(pool) = services.get_mut(service) else {
                     return;
                 };
-                pool.next_assignment(&self.settings.domain, now, &mut *self.rng.borrow_mut())
+                let distances = self.distances.borrow();
+                let locality = self.locality(distances.as_ref());
+                pool.next_assignment(&locality, now, &mut *self.rng.borrow_mut())
             };
             let Some(assignment) = assignment else {
                 return;
--- /dev/null
+++ b/crates/gateway/src/traffic/region_distances.rs
@@ -0,0 +1,101 @@
+//! Measured round trips to the backend servers of each region.
+//!
+//! Statements say little of the distance, since execution takes most of their time. Logins all cost a server the same,
+//! and session commands take no execution slot, so the shortest of them differ between regions by the round trip.
+
+use super::recent_minimum::RecentMinimum;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_model::Time;
+
+/// Window of the minimum that counts as the round trip without congestion.
+const BASE_WINDOW: Duration = Duration::from_mins(1);
+/// Window of the minimum that shows congestion. Single slow answers do not raise it.
+const CONGESTION_WINDOW: Duration = Duration::from_secs(1);
+
+/// What was measured; only like is compared with like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoundTripKind {
+    /// A command that takes no execution slot.
+    SessionCommand,
+    /// The start of a connection.
+    Login,
+}
+
+impl RoundTripKind {
+    const ALL: [Self; 2] = [Self::SessionCommand, Self::Login];
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RoundTrips {
+    base: RecentMinimum,
+    recent: RecentMinimum,
+}
+
+impl Default for RoundTrips {
+    fn default() -> Self {
+        Self {
+            base: RecentMinimum::over(BASE_WINDOW),
+            recent: RecentMinimum::over(CONGESTION_WINDOW),
+        }
+    }
+}
+
+impl RoundTrips {
+    /// How much longer the round trips of late are than without congestion; `None` without any of late.
+    fn excess(&self, now: Time) -> Option<Duration> {
+        let recent = self.recent.current(now)?;
+        Some(recent.saturating_sub(self.base.current(now)?))
+    }
+}
+
+/// Round trips by region.
+#[derive(Debug, Clone)]
+pub struct RegionDistances {
+    own: Arc<str>,
+    regions: BTreeMap<Arc<str>, [RoundTrips; RoundTripKind::ALL.len()]>,
+}
+
+impl RegionDistances {
+    /// Nothing measured yet, for an instance in the region `own`.
+    pub const fn new(own: Arc<str>) -> Self {
+        Self {
+            own,
+            regions: BTreeMap::new(),
+        }
+    }
+
+    /// Records that a request to a server of `region` was answered after `took`.
+    pub fn record(&mut self, region: &Arc<str>, kind: RoundTripKind, took: Duration, now: Time) {
+        let known = self.regions.entry(Arc::clone(region)).or_default();
+        let round_trips = &mut known[kind as usize];
+        round_trips.base.record(took, now);
+        round_trips.recent.record(took, now);
+    }
+
+    /// How much longer a round trip to `region` takes than one within the own region. Zero while nothing can be
+    /// compared, so that the first statements measure it.
+    pub fn distance(&self, region: &str, now: Time) -> Duration {
+        let base = |region: &str, kind: RoundTripKind| {
+            let round_trips = &self.regions.get(region)?[kind as usize];
+            round_trips.base.current(now)
+        };
+        let distances = RoundTripKind::ALL
+            .into_iter()
+            .filter_map(|kind| Some(base(region, kind)?.saturating_sub(base(&self.own, kind)?)));
+        distances.min().unwrap_or_default()
+    }
+
+    /// How much longer the round trips to `region` are of late than usual, less what those within the own region are.
+    /// Zero without a round trip of late, so that requests cross again and measure it.
+    pub fn congestion(&self, region: &str, now: Time) -> Duration {
+        let excess = |region: &str| {
+            let known = self.regions.get(region)?;
+            let excess = known.iter().filter_map(|r| r.excess(now));
+            excess.min()
+        };
+        let own = excess(&self.own).unwrap_or_default();
+        excess(region).unwrap_or_default().saturating_sub(own)
+    }
+}
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,6 +1,7 @@
 //! The connections of one service, and the queues of requests that wait for them.
 
 use super::connection_limits::ConnectionLimits;
+use super::locality::Locality;
 use super::pace::ServerPace;
 use super::placement::{Candidate, choose_server};
 use super::requirement::ServerRequirement;
@@ -292,7 +293,7 @@
     /// Removes the next waiter for which a server is available from its queue. The primary's queue goes first.
     pub(super) fn next_assignment<G>(
         &mut self,
-        domain: &str,
+        locality: &Locality<'_>,
         now: Time,
         rng: &mut G,
     ) -> Option<Assignment<C, R>>
@@ -300,7 +301,7 @@
         G: Rng,
     {
         self.next_primary_assignment(now)
-            .or_else(|| self.next_read_assignment(domain, now, rng))
+            .or_else(|| self.next_read_assignment(locality, now, rng))
     }
 
     fn next_primary_assignment(&mut self, now: Time) -> Option<Assignment<C, R>> {
@@ -316,7 +317,12 @@
         Some(self.assign(queued, waiter, id, now))
     }
 
-    fn next_read_assignment<G>(&mut self, domain: &str, now: Time, rng: &mut G) -> Option<Assignment<C, R>>
+    fn next_read_assignment<G>(
+        &mut self,
+        locality: &Locality<'_>,
+        now: Time,
+        rng: &mut G,
+    ) -> Option<Assignment<C, R>>
     where
         G: Rng,
     {
@@ -327,7 +333,7 @@
         let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
         let candidates: Vec<_> = ids
             .iter()
-            .map(|id| self.candidate(id, &waiter, domain, now))
+            .map(|id| self.candidate(id, &waiter, locality, now))
             .collect();
         let chosen = choose_server(&candidates, rng).expect("an available server");
         Some(self.assign(queued, waiter, Arc::clone(&ids[chosen]), now))
@@ -346,7 +352,7 @@
             .any(|id| self.servers[id].available(self.limits.max_open, now))
     }
 
-    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, domain: &str, now: Time) -> Candidate {
+    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, locality: &Locality<'_>, now: Time) -> Candidate {
         let pool = &self.servers[id];
         let primary = self.is_primary(id);
         let holds_point = match waiter.requirement {
@@ -358,7 +364,8 @@
         };
         Candidate {
             primary,
-            local: *pool.server.domain == *domain,
+            local: *pool.server.domain == *locality.domain,
+            distance: locality.distance(&pool.server.domain, now),
             latency: pool.latency.estimate(),
             running: pool.in_use,
             has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -220,6 +220,7 @@
     Candidate {
         primary,
         local: true,
+        distance: Duration::ZERO,
         latency: Duration::from_millis(millis),
         running: 0,
         has_idle_connection: true,
