Give each region relays of its own

Cause: with 63 instances each of the three failure domains of the region without the store has a relay, which reads the lists of the store across the regions about once a second, and followers turn to relays in any region when the first ones have old data.

With several regions the number of relays follows the size of each region, two for 20 to 59 instances; followers ask those of their own failure domain first, then those of their region, then the instances of their failure domain that have turned to the store, and then one relay of another region. With one region nothing changes. Ruled out: no relay that reads the store in the other region; its followers would depend on relays across the link in each period.

Tests of the view pass the regions as a new argument, unchanged otherwise.

--- a/crates/gateway/src/control/view_requests.rs
+++ b/crates/gateway/src/control/view_requests.rs
@@ -43,6 +43,7 @@
             &self.settings.instance.id,
             &snapshot.members,
             snapshot.failover_lease_holder.as_deref(),
+            &self.settings.regions,
         )
     }
 
@@ -74,7 +75,8 @@
         let snapshot = &state.snapshot;
         let holder = snapshot.failover_lease_holder.as_deref();
         let age = snapshot.age(clock::now());
-        let instances = instances_to_query(own, &snapshot.members, holder, age, own.incarnation.0);
+        let regions = &self.settings.regions;
+        let instances = instances_to_query(own, &snapshot.members, holder, regions, age, own.incarnation.0);
         instances.into_iter().map(|m| m.id.clone()).collect()
     }
 
--- a/crates/gateway/src/view/relays.rs
+++ b/crates/gateway/src/view/relays.rs
@@ -1,6 +1,8 @@
 //! Choice of the relays: the instances that read the store for the others.
 
-use std::collections::HashSet;
+use crate::Regions;
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::InstanceId;
 use wasabiyard_platform::ListedInstance;
@@ -33,18 +35,38 @@
 const PROBE_BACKOFF_PER_INSTANCE: Duration = Duration::from_millis(15);
 /// Most instances besides the relays that a follower queries.
 const MAX_SUBSTITUTES: usize = 4;
+/// Most relays of other regions that a follower queries. While the store fails, all relays have old data, and all
+/// followers would query each relay of the other regions in each period.
+const MAX_RELAYS_OF_OTHER_REGIONS: usize = 1;
 
-/// All relays, the holder of the failover lease last. Instances that see the same registrations agree on them.
+/// All relays, the holder of the failover lease last. Instances that see the same registrations agree on them. Each of
+/// several regions has relays of its own, as many as a fleet of its size.
 pub fn select_relays<'a>(
     members: &'a [ListedInstance],
     failover_lease_holder: Option<&str>,
+    regions: &Regions,
 ) -> Vec<&'a ListedInstance> {
     let mut ranked = rank_instances(members);
     let holder = ranked
         .iter()
         .position(|m| Some(m.id.as_str()) == failover_lease_holder);
     let holder = holder.map(|i| ranked.remove(i));
-    match members.len() {
+    let mut sizes: BTreeMap<Option<&Arc<str>>, usize> = BTreeMap::new();
+    for member in members {
+        *sizes.entry(regions.of(&member.domain)).or_default() += 1;
+    }
+    let mut relays = Vec::new();
+    for (region, size) in sizes {
+        let in_region = ranked.iter().filter(|m| regions.of(&m.domain) == region);
+        relays.extend(relays_of_region(in_region.copied().collect(), size));
+    }
+    relays.extend(holder);
+    relays
+}
+
+/// The relays among the ranked candidates of a region, which has `size` instances.
+fn relays_of_region(mut ranked: Vec<&ListedInstance>, size: usize) -> Vec<&ListedInstance> {
+    match size {
         ..MEDIUM_FLEET_INSTANCES => ranked.truncate(SMALL_FLEET_RELAY_COUNT),
         MEDIUM_FLEET_INSTANCES..LARGE_FLEET_INSTANCES => ranked.truncate(MEDIUM_FLEET_RELAY_COUNT),
         LARGE_FLEET_INSTANCES.. => {
@@ -52,7 +74,6 @@
             ranked.retain(|m| domains.insert(m.domain.as_str()));
         }
     }
-    ranked.extend(holder);
     ranked
 }
 
@@ -68,8 +89,13 @@
 }
 
 /// Whether an instance reads the store itself; true for all while no instance is registered.
-pub fn is_relay(id: &InstanceId, members: &[ListedInstance], failover_lease_holder: Option<&str>) -> bool {
-    let relays = select_relays(members, failover_lease_holder);
+pub fn is_relay(
+    id: &InstanceId,
+    members: &[ListedInstance],
+    failover_lease_holder: Option<&str>,
+    regions: &Regions,
+) -> bool {
+    let relays = select_relays(members, failover_lease_holder, regions);
     relays.is_empty() || relays.iter().any(|m| m.id == *id)
 }
 
@@ -96,15 +122,17 @@
 
 /// The instances that a follower asks for a newer view than its own, which has this `age`, in order: the relay of its
 /// failure domain, the other relays in an order of its own by `seed`, and those instances of its failure domain that have
-/// turned to the store because the relays have nothing new.
+/// turned to the store because the relays have nothing new. With several regions, those of the own region come first, and
+/// few of the others are asked.
 pub fn instances_to_query<'a>(
     own: &ListedInstance,
     members: &'a [ListedInstance],
     failover_lease_holder: Option<&str>,
+    regions: &Regions,
     age: Duration,
     seed: u64,
 ) -> Vec<&'a ListedInstance> {
-    let mut relays = select_relays(members, failover_lease_holder);
+    let mut relays = select_relays(members, failover_lease_holder, regions);
     let len = relays.len().max(1);
     relays.rotate_left(seed as usize % len);
     relays.sort_by_key(|m| m.domain != own.domain);
@@ -121,5 +149,10 @@
         }
     }
     relays.retain(|m| m.id != own.id);
+    relays.sort_by_key(|m| !regions.is_own(&m.domain));
+    let in_region = relays.iter().filter(|m| regions.is_own(&m.domain)).count();
+    if regions.are_several() {
+        relays.truncate(in_region + MAX_RELAYS_OF_OTHER_REGIONS);
+    }
     relays
 }
--- a/crates/gateway/tests/regions.rs
+++ b/crates/gateway/tests/regions.rs
@@ -4,8 +4,11 @@
 use rand::rngs::SmallRng;
 use std::sync::Arc;
 use std::time::Duration;
+use wasabiyard_gateway::Regions;
 use wasabiyard_gateway::traffic::{Candidate, RegionDistances, RoundTripKind, choose_server};
-use wasabiyard_model::Time;
+use wasabiyard_gateway::view::{instances_to_query, select_relays};
+use wasabiyard_model::{Incarnation, InstanceId, Time};
+use wasabiyard_platform::{ListedInstance, ListedState};
 
 const START: Time = Time::from_millis(200_000);
 
@@ -69,3 +72,47 @@
         assert_eq!(choose(near, replica(16, 46, 0)), Some(1));
     }
 }
+
+/// 63 instances in two regions of three failure domains.
+fn fleet() -> Vec<ListedInstance> {
+    let instance = |i: usize| ListedInstance {
+        id: InstanceId::from(&*format!("i{i}")),
+        incarnation: Incarnation(i as u64),
+        address: "10.0.0.9:7560".to_owned(),
+        domain: format!("{}-{}", if i.is_multiple_of(2) { "riga" } else { "lima" }, i % 3),
+        state: ListedState::Live,
+    };
+    (0..63).map(instance).collect()
+}
+
+fn regions_of(own_domain: &str) -> Regions {
+    let domains = (0..3).flat_map(|k| [("riga", "north", k), ("lima", "south", k)]);
+    let by_domain = domains.map(|(name, region, k)| (Arc::from(format!("{name}-{k}")), Arc::from(region)));
+    Regions::new(own_domain, by_domain.collect())
+}
+
+/// Each relay of a region without the store reads it across the regions, and each follower that asks a relay of the
+/// other region does so 100 times a minute.
+#[test]
+fn followers_ask_the_few_relays_of_their_region_first() {
+    let fleet = fleet();
+    let relays = select_relays(&fleet, Some("i50"), &regions_of("riga-0"));
+    assert_eq!(relays, select_relays(&fleet, Some("i50"), &regions_of("lima-1")));
+    let in_south = relays.iter().filter(|m| m.domain.starts_with("lima"));
+    assert_eq!(in_south.count(), 2, "{relays:?}");
+    for follower in &fleet {
+        let regions = regions_of(&follower.domain);
+        let age = Duration::from_secs(3);
+        let asked = instances_to_query(
+            follower,
+            &fleet,
+            Some("i50"),
+            &regions,
+            age,
+            follower.incarnation.0,
+        );
+        let others = asked.iter().skip_while(|m| regions.is_own(&m.domain));
+        assert_eq!(others.count(), 1, "{asked:?}");
+        assert!(asked.len() >= 3, "{asked:?}");
+    }
+}
--- a/crates/gateway/tests/view.rs
+++ b/crates/gateway/tests/view.rs
@@ -3,11 +3,11 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wasabiyard_gateway::PrimaryRecord;
 use wasabiyard_gateway::view::{
     ViewAges, ViewCursor, ViewKey, ViewProgress, ViewScope, ViewTable, ViewValue, domain_rank, fallback_age,
     instances_to_query, max_store_backoff, select_relays,
 };
+use wasabiyard_gateway::{PrimaryRecord, Regions};
 use wasabiyard_model::{Incarnation, InstanceId, Version};
 use wasabiyard_platform::{ListedInstance, ListedState};
 
@@ -291,10 +291,14 @@
 #[test]
 fn a_large_fleet_has_at_most_three_relays() {
     let fleet: Vec<_> = (0..87).map(|i| instance(&format!("i{i}"))).collect();
-    assert!(select_relays(&fleet, Some("i50")).len() <= 3);
+    assert!(select_relays(&fleet, Some("i50"), &Regions::default()).len() <= 3);
     let mut reversed = fleet.clone();
     reversed.reverse();
-    assert_eq!(select_relays(&fleet, None), select_relays(&reversed, None));
+    let regions = Regions::default();
+    assert_eq!(
+        select_relays(&fleet, None, &regions),
+        select_relays(&reversed, None, &regions)
+    );
 }
 
 /// With hundreds of followers, requests to the relays of other failure domains cost more bytes between the domains than
@@ -307,13 +311,14 @@
             ..instance(&format!("i{i}"))
         })
         .collect();
-    let relays = select_relays(&fleet, Some("i50"));
+    let relays = select_relays(&fleet, Some("i50"), &Regions::default());
     assert!(relays.len() <= 7, "{} relays", relays.len());
     for follower in &fleet {
         let asked = instances_to_query(
             follower,
             &fleet,
             Some("i50"),
+            &Regions::default(),
             Duration::ZERO,
             follower.incarnation.0,
         );
@@ -350,8 +355,15 @@
 fn a_follower_with_an_old_view_asks_the_instances_that_read_the_store() {
     let fleet: Vec<_> = (0..49).map(|i| instance(&format!("i{i}"))).collect();
     let own = &fleet[7];
-    let fresh = instances_to_query(own, &fleet, None, Duration::ZERO, 3);
-    let old = instances_to_query(own, &fleet, None, Duration::from_millis(2_600), 3);
+    let fresh = instances_to_query(own, &fleet, None, &Regions::default(), Duration::ZERO, 3);
+    let old = instances_to_query(
+        own,
+        &fleet,
+        None,
+        &Regions::default(),
+        Duration::from_millis(2_600),
+        3,
+    );
     assert!(old.len() > fresh.len(), "{} and {}", old.len(), fresh.len());
     assert!(old.len() <= 8, "{}", old.len());
 }
