Encode rate messages between regions without names of fields

Cause: the rate coordinator of half of the organisations is in the other region, so a request and a response cross for each of their operations, and most of their bytes are names.

Times and reserved rates are rounded to the side that admits less, and no decision changes, so the limit over the fleet is as before. Envelopes say in an optional field that their sender reads it; only processes that are known by their incarnation to read it get it, and only where there are several regions.

Ruled out: batches of tokens for a delegate in each region. An organisation has some five operations a second in a region, so a batch of half a second saves about as much, holds back tokens that nobody uses, and adds a hop and a failure mode.

--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -68,7 +68,13 @@
                 continue;
             };
             match Envelope::open(&buf, secret) {
-                Ok(envelope) => self.on_envelope(envelope),
+                Ok(envelope) => {
+                    if self.settings.regions.are_several() {
+                        let mut readers = self.peers.compact_readers.borrow_mut();
+                        readers.on_envelope(&envelope.from, envelope.incarnation, envelope.reads_compact);
+                    }
+                    self.on_envelope(envelope);
+                }
                 Err(e) => log::debug!(error:% = e; "dropped an invalid datagram"),
             }
         }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -174,6 +174,7 @@
             settings.peers,
             registration.id.clone(),
             registration.incarnation,
+            settings.regions.are_several(),
         )?);
         let control = ControlThread::spawn(control_settings, channels, open_clients)?;
         let pool = Pool::new(
@@ -190,6 +191,7 @@
         let peers = Peers {
             socket,
             snapshot: Arc::clone(&snapshot),
+            compact_readers: Rc::default(),
         };
         let limiter_peers = peers.clone();
         let send_to = move |to: &InstanceId, message| limiter_peers.send(to, &message);
--- a/crates/gateway/src/gateway/peers.rs
+++ b/crates/gateway/src/gateway/peers.rs
@@ -1,8 +1,9 @@
 //! Sending of messages to other instances by id.
 
-use crate::peer::PeerSocket;
+use crate::peer::{CompactReaders, Encoding, PeerSocket};
 use crate::{ClusterSnapshot, PeerMessage};
 use arc_swap::ArcSwap;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use wasabiyard_model::InstanceId;
@@ -12,6 +13,8 @@
 pub(super) struct Peers {
     pub(super) socket: Rc<PeerSocket>,
     pub(super) snapshot: Arc<ArcSwap<ClusterSnapshot>>,
+    /// Instances that get the short encoding; none if there is only one region.
+    pub(super) compact_readers: Rc<RefCell<CompactReaders>>,
 }
 
 impl Peers {
@@ -23,8 +26,14 @@
             return;
         };
         let member = &snapshot.members[member];
+        let is_reader = self.compact_readers.borrow().contains(to, member.incarnation);
+        let encoding = if is_reader {
+            Encoding::Compact
+        } else {
+            Encoding::Named
+        };
         match member.address.parse() {
-            Ok(address) => self.socket.send(address, message.clone(), secret),
+            Ok(address) => self.socket.send(address, message.clone(), encoding, secret),
             Err(e) => log::warn!(instance:% = to, error:% = e; "registered instance has an invalid address"),
         }
     }
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -1,5 +1,6 @@
 //! The messages between instances, and the authenticated datagrams that carry them.
 
+use super::compact::CompactEnvelope;
 use crate::PrimaryRecord;
 use crate::control::ServerContacts;
 use crate::rate::{LinkMessage, TokenRequest, TokenResponse};
@@ -13,6 +14,8 @@
 
 /// Length of the truncated HMAC-SHA256 at the end of each datagram.
 const MAC_BYTES: usize = 16;
+/// Major type of a CBOR array, the upper three bits of its first byte.
+const CBOR_ARRAY: u8 = 4;
 
 /// A message to another instance. Any message may be lost without notice to the sender.
 ///
@@ -95,6 +98,18 @@
     pub incarnation: Incarnation,
     /// The payload.
     pub message: PeerMessage,
+    /// Whether the sender reads [`Encoding::Compact`]. Left out otherwise; builds without that encoding ignore it.
+    #[serde(default, rename = "short", skip_serializing_if = "std::ops::Not::not")]
+    pub reads_compact: bool,
+}
+
+/// How the content of a datagram is encoded. The first byte tells the two apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Encoding {
+    /// A CBOR map with the names of all fields.
+    Named,
+    /// A CBOR array, for instances that are known to read it.
+    Compact,
 }
 
 /// Why a datagram is dropped.
@@ -110,9 +125,13 @@
 
 impl Envelope {
     /// Encodes the envelope as a datagram: CBOR followed by a truncated HMAC-SHA256 with the fleet's secret.
-    pub fn seal(&self, secret: &[u8]) -> Vec<u8> {
+    pub fn seal(&self, encoding: Encoding, secret: &[u8]) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(256);
-        ciborium::into_writer(self, &mut bytes).expect("writing to memory cannot fail");
+        let written = match encoding {
+            Encoding::Named => ciborium::into_writer(self, &mut bytes),
+            Encoding::Compact => ciborium::into_writer(&CompactEnvelope::from(self), &mut bytes),
+        };
+        written.expect("writing to memory cannot fail");
         let tag = mac(secret, &bytes).finalize().into_bytes();
         bytes.extend_from_slice(&tag[..MAC_BYTES]);
         bytes
@@ -132,6 +151,10 @@
         mac(secret, content)
             .verify_truncated_left(tag)
             .map_err(|_e| EnvelopeError::NotAuthentic)?;
+        if content.first().is_some_and(|byte| byte >> 5 == CBOR_ARRAY) {
+            let envelope: CompactEnvelope = ciborium::from_reader(content)?;
+            return Ok(envelope.into());
+        }
         Ok(ciborium::from_reader(content)?)
     }
 }
--- a/crates/gateway/src/peer/peer_socket.rs
+++ b/crates/gateway/src/peer/peer_socket.rs
@@ -1,6 +1,6 @@
 //! The UDP socket for messages between instances.
 
-use super::{Envelope, PeerMessage};
+use super::{Encoding, Envelope, PeerMessage};
 use async_io::Async;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -15,31 +15,44 @@
     socket: Async<UdpSocket>,
     id: InstanceId,
     incarnation: Incarnation,
+    /// Whether envelopes say that this instance reads [`Encoding::Compact`].
+    reads_compact: bool,
 }
 
 impl PeerSocket {
-    /// Binds the socket. `id` and `incarnation` are written into each envelope that is sent.
+    /// Binds the socket. `id`, `incarnation` and `reads_compact` are written into each envelope that is sent.
     ///
     /// # Errors
     ///
     /// When the address cannot be bound.
-    pub fn bind(address: SocketAddr, id: InstanceId, incarnation: Incarnation) -> io::Result<Self> {
+    pub fn bind(
+        address: SocketAddr,
+        id: InstanceId,
+        incarnation: Incarnation,
+        reads_compact: bool,
+    ) -> io::Result<Self> {
         Ok(Self {
             socket: Async::<UdpSocket>::bind(address)?,
             id,
             incarnation,
+            reads_compact,
         })
     }
 
     /// Sends a message without waiting. A message that the socket does not accept now is logged and dropped, because
     /// all messages are repeated.
-    pub fn send(&self, to: SocketAddr, message: PeerMessage, secret: &[u8]) {
+    pub fn send(&self, to: SocketAddr, message: PeerMessage, encoding: Encoding, secret: &[u8]) {
         let envelope = Envelope {
             from: self.id.clone(),
             incarnation: self.incarnation,
             message,
+            reads_compact: self.reads_compact,
         };
-        if let Err(e) = self.socket.get_ref().send_to(&envelope.seal(secret), to) {
+        if let Err(e) = self
+            .socket
+            .get_ref()
+            .send_to(&envelope.seal(encoding, secret), to)
+        {
             log::debug!(peer:% = to, error:% = e; "dropped a message to a peer that the socket did not accept");
         }
     }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wasabiyard_gateway::control::{FailoverLease, FailoverLeaseRecord, LeaseTerms, ReachedGeneration};
-use wasabiyard_gateway::peer::{Envelope, ReleaseTargets};
+use wasabiyard_gateway::peer::{Encoding, Envelope, ReleaseTargets};
 use wasabiyard_gateway::traffic::{Candidate, ReplicaLag, choose_server, required_point};
 use wasabiyard_gateway::{
     ClusterSnapshot, ConnectionState, NEW_WORK_MARGIN, PeerMessage, PrimaryRecord, PrimaryView,
@@ -206,8 +206,9 @@
             service: "members".into(),
             epoch: 4,
         },
+        reads_compact: false,
     };
-    let sealed = envelope.seal(b"secret");
+    let sealed = envelope.seal(Encoding::Named, b"secret");
     assert_eq!(Envelope::open(&sealed, b"secret").expect("authentic"), envelope);
     Envelope::open(&sealed, b"other").expect_err("another secret");
     let mut changed = sealed.clone();
--- a/crates/gateway/tests/regions.rs
+++ b/crates/gateway/tests/regions.rs
@@ -4,10 +4,12 @@
 use rand::rngs::SmallRng;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_gateway::Regions;
+use wasabiyard_gateway::peer::{CompactReaders, Encoding, Envelope};
+use wasabiyard_gateway::rate::{LinkMessage, RateDecision, TokenRequest, TokenResponse};
 use wasabiyard_gateway::traffic::{Candidate, RegionDistances, RoundTripKind, choose_server};
 use wasabiyard_gateway::view::{instances_to_query, select_relays};
-use wasabiyard_model::{Incarnation, InstanceId, Time};
+use wasabiyard_gateway::{PeerMessage, Regions};
+use wasabiyard_model::{Incarnation, InstanceId, PriorityClass, Time};
 use wasabiyard_platform::{ListedInstance, ListedState};
 
 const START: Time = Time::from_millis(200_000);
@@ -116,3 +118,90 @@
         assert!(asked.len() >= 3, "{asked:?}");
     }
 }
+
+fn envelope(message: PeerMessage) -> Envelope {
+    Envelope {
+        from: InstanceId::from("frontend-riga-a-12"),
+        incarnation: Incarnation(1_796_600_000_000_000),
+        message,
+        reads_compact: true,
+    }
+}
+
+fn token_messages(wait: Duration, reserved_rate: f64) -> [PeerMessage; 3] {
+    let request = TokenRequest {
+        class: PriorityClass::Normal,
+        max_wait: Duration::from_micros(150_900),
+    };
+    let response = TokenResponse {
+        decision: RateDecision::GrantedAfter(wait),
+        reserved_rate,
+    };
+    [
+        PeerMessage::RateRequest {
+            request_id: 12_345,
+            organisation: "miny420".into(),
+            request,
+        },
+        PeerMessage::RateResponse {
+            request_id: 12_345,
+            response,
+        },
+        PeerMessage::CoordinatorLink(LinkMessage {
+            sent_at: START,
+            echo: None,
+            reply: false,
+        }),
+    ]
+}
+
+/// Rounding must not admit more than the coordinator has granted, or let an operation run before its token is there.
+#[test]
+fn the_short_encoding_admits_no_more_than_the_usual_one() {
+    let sent = token_messages(Duration::from_micros(1_001), 2.640_625);
+    for message in sent {
+        let datagram = envelope(message).seal(Encoding::Compact, b"secret");
+        match Envelope::open(&datagram, b"secret").expect("an envelope").message {
+            PeerMessage::RateRequest { request, .. } => assert_eq!(request.max_wait, ms(150)),
+            PeerMessage::RateResponse { response, .. } => {
+                assert_eq!(response.decision, RateDecision::GrantedAfter(ms(2)));
+                assert!((2.640..=2.640_625).contains(&response.reserved_rate));
+            }
+            PeerMessage::CoordinatorLink(link) => assert_eq!(link.sent_at, START),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// Token requests and responses are most of the messages between regions. Other messages lose nothing.
+#[test]
+fn the_short_encoding_halves_the_messages_of_the_rates() {
+    for message in token_messages(Duration::ZERO, 0.0) {
+        let envelope = envelope(message);
+        let usual = envelope.seal(Encoding::Named, b"secret").len();
+        let short = envelope.seal(Encoding::Compact, b"secret").len();
+        assert!(short * 2 <= usual, "{short} of {usual} bytes: {envelope:?}");
+        let opened = Envelope::open(&envelope.seal(Encoding::Compact, b"secret"), b"secret");
+        assert_eq!(opened.expect("an envelope").from, envelope.from);
+    }
+    let released = envelope(PeerMessage::PrimaryReleased {
+        service: "members".into(),
+        epoch: 4,
+    });
+    let opened = Envelope::open(&released.seal(Encoding::Compact, b"secret"), b"secret");
+    assert_eq!(opened.expect("an envelope"), released);
+}
+
+/// A process of a build without the short encoding drops it, so it must not get it, also after it took the place of one
+/// that reads it.
+#[test]
+fn only_processes_that_read_the_short_encoding_get_it() {
+    let mut readers = CompactReaders::default();
+    let peer = InstanceId::from("i1");
+    assert!(!readers.contains(&peer, Incarnation(1)));
+    readers.on_envelope(&peer, Incarnation(1), true);
+    assert!(readers.contains(&peer, Incarnation(1)));
+    assert!(!readers.contains(&peer, Incarnation(2)));
+    readers.on_envelope(&peer, Incarnation(2), false);
+    assert!(!readers.contains(&peer, Incarnation(1)) && !readers.contains(&peer, Incarnation(2)));
+}
