Stop the least urgent requests from crossing a congested link

Congestion is how much longer the shortest logins and session commands of the last seconds to a region take than those of the last minutes, less the same within the own region. From 20 ms on the lowest class no longer crosses, from 60 ms on the second. Reads wait for a server of their region; what only another region can serve is refused at once with the time to retry. Reads that cannot be placed are set aside, eight at most, so that those behind them are served. With one region all may be reached, and nothing changes.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -100,6 +100,8 @@
     stray_answers: Counter<u64>,
     paces: Counter<u64>,
     pace_refusals: Counter<u64>,
+    crossings: Counter<u64>,
+    crossing_refusals: Counter<u64>,
     malformed_messages: Counter<u64>,
     sessions: Arc<AtomicUsize>,
     store_calls: Arc<StoreCalls>,
@@ -190,6 +192,14 @@
                 "wasabiyard_pace_refusals",
                 "Statements refused because the pace at their server cannot serve them in time, by service",
             ),
+            crossings: counter(
+                "wasabiyard_crossings",
+                "Backend connections leased in another region, by service",
+            ),
+            crossing_refusals: counter(
+                "wasabiyard_crossing_refusals",
+                "Statements refused because the link to another region is congested, by service",
+            ),
             malformed_messages: counter(
                 "wasabiyard_malformed_messages",
                 "Messages of callers that violate the protocol, by service",
@@ -274,6 +284,18 @@
             .add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Records the lease of a backend connection in another region.
+    pub fn on_crossing(&self, service: &str) {
+        self.crossings
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Records a statement that is refused because the link to another region is congested.
+    pub fn on_crossing_refusal(&self, service: &str) {
+        self.crossing_refusals
+            .add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Records a message of a caller that violates the protocol.
     pub fn on_malformed_message(&self, service: &str) {
         let service = KeyValue::new("service", service.to_owned());
--- a/crates/gateway/src/traffic/locality.rs
+++ b/crates/gateway/src/traffic/locality.rs
@@ -1,9 +1,10 @@
 //! Where this instance is, relative to backend servers.
 
+use super::crossing::may_cross;
 use super::region_distances::RegionDistances;
 use crate::Regions;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{PriorityClass, Time};
 
 /// Failure domain and region of this instance, and the measured distances to the other regions.
 #[derive(Debug)]
@@ -24,4 +25,12 @@
             .map(|(d, region)| d.distance(region, now));
         distance.unwrap_or_default()
     }
+
+    /// Whether a request of a class may be sent to a failure domain now.
+    pub(super) fn may_reach(&self, domain: &str, class: PriorityClass, now: Time) -> bool {
+        let (Some(distances), Some(region)) = (self.distances, self.regions.of(domain)) else {
+            return true;
+        };
+        self.regions.is_own(domain) || may_cross(class, distances.congestion(region, now))
+    }
 }
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -139,6 +139,7 @@
     /// Rejects expired waiters, closes connections that are idle for too long, and stops the use of primaries
     /// whose view lease is about to expire. Called periodically.
     pub fn tick(self: &Rc<Self>, now: Time) {
+        self.report_congestion(now);
         let snapshot = self.snapshot();
         let names: Vec<_> = self.services.borrow().keys().map(Arc::clone).collect();
         for service in &names {
--- a/crates/gateway/src/traffic/pool_distances.rs
+++ b/crates/gateway/src/traffic/pool_distances.rs
@@ -1,5 +1,6 @@
 //! Measurement of the distances to the regions of backend servers.
 
+use super::connection_lease::ConnectionLease;
 use super::locality::Locality;
 use super::pool::Pool;
 use super::region_distances::{RegionDistances, RoundTripKind};
@@ -32,6 +33,36 @@
         }
     }
 
+    /// Counts a connection lease at a server of another region.
+    pub(super) fn count_crossing(&self, lease: &ConnectionLease<C>) {
+        if !self.settings.regions.are_several() {
+            return;
+        }
+        let services = self.services.borrow();
+        let server = services
+            .get(&lease.service)
+            .and_then(|s| s.servers.get(&lease.server));
+        if server.is_some_and(|s| !self.settings.regions.is_own(&s.server.domain)) {
+            self.metrics.on_crossing(&lease.service);
+        }
+    }
+
+    /// Logs links to other regions that have become congested, or no longer are.
+    pub(super) fn report_congestion(&self, now: Time) {
+        let mut distances = self.distances.borrow_mut();
+        let Some(distances) = distances.as_mut() else {
+            return;
+        };
+        for (region, congestion) in distances.take_changes(now) {
+            let distance = distances.distance(&region, now);
+            log::info!(
+                region:% = region, distance_ms = distance.as_millis() as u64,
+                congestion_ms = congestion.as_millis() as u64;
+                "congestion of the link to another region has changed"
+            );
+        }
+    }
+
     /// Where this instance is, relative to backend servers.
     pub(super) fn locality<'a>(&'a self, distances: Option<&'a RegionDistances>) -> Locality<'a> {
         Locality {
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -2,6 +2,7 @@
 
 use super::connection_lease::ConnectionLease;
 use super::connection_wait::connection_wait_deadline;
+use super::crossing::CROSSING_RETRY;
 use super::pool::{LeaseResult, Pool, PoolError};
 use super::primary_wait::{check_primary_wait, queue_error};
 use super::requirement::ServerRequirement;
@@ -59,6 +60,7 @@
         let served = async { rx.recv().await.unwrap_or(Err(PoolError::Deadline)) };
         let lease = served.or(expired).await?;
         let waited = clock::now().saturating_since(now);
+        self.count_crossing(&lease);
         self.metrics
             .on_placed(lease_request.service, lease.epoch.is_some(), waited);
         Ok(lease)
@@ -86,6 +88,14 @@
                 });
             }
         }
+        let distances = self.distances.borrow();
+        let locality = self.locality(distances.as_ref());
+        if !pool.may_reach(queue_kind, lease_request.class, &locality, now) {
+            self.metrics.on_crossing_refusal(lease_request.service);
+            return Err(PoolError::Overloaded {
+                retry_after: CROSSING_RETRY,
+            });
+        }
         let ahead = pool
             .queue(queue_kind)
             .requests_ahead(lease_request.organisation, 1, lease_request.class);
--- a/crates/gateway/src/traffic/region_distances.rs
+++ b/crates/gateway/src/traffic/region_distances.rs
@@ -3,11 +3,12 @@
 //! Statements say little of the distance, since execution takes most of their time. Logins all cost a server the same,
 //! and session commands take no execution slot, so the shortest of them differ between regions by the round trip.
 
+use super::crossing::may_cross;
 use super::recent_minimum::RecentMinimum;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{PriorityClass, Time};
 
 /// Window of the minimum that counts as the round trip without congestion.
 const BASE_WINDOW: Duration = Duration::from_mins(1);
@@ -55,6 +56,8 @@
 pub struct RegionDistances {
     own: Arc<str>,
     regions: BTreeMap<Arc<str>, [RoundTrips; RoundTripKind::ALL.len()]>,
+    /// Regions that were reported as congested.
+    congested: BTreeSet<Arc<str>>,
 }
 
 impl RegionDistances {
@@ -63,6 +66,7 @@
         Self {
             own,
             regions: BTreeMap::new(),
+            congested: BTreeSet::new(),
         }
     }
 
@@ -98,4 +102,23 @@
         let own = excess(&self.own).unwrap_or_default();
         excess(region).unwrap_or_default().saturating_sub(own)
     }
+
+    /// Regions to which the least urgent requests stopped crossing since the last call, or cross again, with the present
+    /// congestion. A region changes at most once in each window of the measurement.
+    pub fn take_changes(&mut self, now: Time) -> Vec<(Arc<str>, Duration)> {
+        let mut changes = Vec::new();
+        for region in self.regions.keys() {
+            let congestion = self.congestion(region, now);
+            let is_congested = !may_cross(PriorityClass::Background, congestion);
+            if is_congested != self.congested.contains(region) {
+                changes.push((Arc::clone(region), congestion));
+            }
+        }
+        for (region, _) in &changes {
+            if !self.congested.remove(region) {
+                self.congested.insert(Arc::clone(region));
+            }
+        }
+        changes
+    }
 }
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -20,6 +20,8 @@
 
 /// Minimum time between two samples of the primary's log point, unless the term has increased.
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(40);
+/// Most reads that one assignment sets aside because all servers with room are in a region that they may not cross to.
+const MAX_SET_ASIDE: usize = 8;
 /// Time for which a server stays in use after it disappeared from the list. Entries of live servers expire while the
 /// store is unavailable.
 const UNLISTED_SERVER_GRACE: Duration = Duration::from_secs(3);
@@ -80,7 +82,7 @@
     /// Servers that are no longer listed, with the time at which this was noticed.
     unlisted: BTreeMap<Arc<str>, Time>,
     /// Ids of the servers that may get new work.
-    accepting_servers: Vec<Arc<str>>,
+    pub(super) accepting_servers: Vec<Arc<str>>,
 }
 
 impl<C, R> ServicePool<C, R> {
@@ -232,21 +234,6 @@
         primary.map_or(Time::ZERO, |p| p.health.overload_pause_until())
     }
 
-    /// When the pace of the servers lets a request start that comes after `ahead` others of its queue.
-    pub(super) fn paced_turn(&self, queue_kind: QueueKind, ahead: usize, now: Time) -> Time {
-        let turn = |id: &Arc<str>, ahead| self.servers.get(id).map(|p| p.pace.turn(ahead, now));
-        let turn = match queue_kind {
-            QueueKind::Primary => self.usable_primary().and_then(|(id, _)| turn(id, ahead)),
-            QueueKind::Reads => {
-                let servers = self.read_servers().count().max(1);
-                self.read_servers()
-                    .filter_map(|id| turn(id, ahead / servers))
-                    .min()
-            }
-        };
-        turn.unwrap_or(now)
-    }
-
     /// The queue for a request: that of the primary, unless a replica is expected to have reached the required log
     /// point.
     pub(super) fn queue_kind(&self, requirement: ServerRequirement, now: Time) -> QueueKind {
@@ -329,18 +316,33 @@
         if self.read_queue.is_empty() || !self.any_available(now) {
             return None;
         }
-        let (queued, waiter) = self.read_queue.pop(now)?;
         let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
-        let candidates: Vec<_> = ids
-            .iter()
-            .map(|id| self.candidate(id, &waiter, locality, now))
-            .collect();
-        let chosen = choose_server(&candidates, rng).expect("an available server");
-        Some(self.assign(queued, waiter, Arc::clone(&ids[chosen]), now))
+        let mut set_aside = Vec::new();
+        let mut assignment = None;
+        while assignment.is_none()
+            && set_aside.len() < MAX_SET_ASIDE
+            && let Some((queued, waiter)) = self.read_queue.pop(now)
+        {
+            let candidates: Vec<_> = ids
+                .iter()
+                .map(|id| self.candidate(id, &queued, &waiter, locality, now))
+                .collect();
+            match choose_server(&candidates, rng) {
+                Some(chosen) => {
+                    assignment = Some(self.assign(queued, waiter, Arc::clone(&ids[chosen]), now));
+                }
+                None => set_aside.push((queued, waiter)),
+            }
+        }
+        for (queued, waiter) in set_aside {
+            // A refused push means that the time of the request is over, which it learns from its closed channel.
+            drop(self.read_queue.push(queued, waiter, now));
+        }
+        assignment
     }
 
     /// Servers for queued reads. The primary is left out while requests wait in its own queue.
-    fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
+    pub(super) fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
         let primary_has_waiters = !self.primary_queue.is_empty();
         self.accepting_servers
             .iter()
@@ -352,7 +354,14 @@
             .any(|id| self.servers[id].available(self.limits.max_open, now))
     }
 
-    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, locality: &Locality<'_>, now: Time) -> Candidate {
+    fn candidate(
+        &self,
+        id: &Arc<str>,
+        queued: &QueuedRequest,
+        waiter: &Waiter<R>,
+        locality: &Locality<'_>,
+        now: Time,
+    ) -> Candidate {
         let pool = &self.servers[id];
         let primary = self.is_primary(id);
         let holds_point = match waiter.requirement {
@@ -369,7 +378,8 @@
             latency: pool.latency.estimate(),
             running: pool.in_use,
             has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
-            available: pool.available(self.limits.max_open, now),
+            available: pool.available(self.limits.max_open, now)
+                && locality.may_reach(&pool.server.domain, queued.class, now),
             holds_point,
         }
     }
--- a/crates/gateway/tests/regions.rs
+++ b/crates/gateway/tests/regions.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use wasabiyard_gateway::peer::{CompactReaders, Encoding, Envelope};
 use wasabiyard_gateway::rate::{LinkMessage, RateDecision, TokenRequest, TokenResponse};
-use wasabiyard_gateway::traffic::{Candidate, RegionDistances, RoundTripKind, choose_server};
+use wasabiyard_gateway::traffic::{Candidate, RegionDistances, RoundTripKind, choose_server, may_cross};
 use wasabiyard_gateway::view::{instances_to_query, select_relays};
 use wasabiyard_gateway::{PeerMessage, Regions};
 use wasabiyard_model::{Incarnation, InstanceId, PriorityClass, Time};
@@ -43,6 +43,38 @@
     assert_eq!(distances.distance("north", after(500)), Duration::ZERO);
 }
 
+/// Requests that can wait filled the link for the urgent ones. Servers that are slow everywhere are no congestion of the
+/// link, and a link on which nothing was measured must be tried again.
+#[test]
+fn the_least_urgent_requests_stop_crossing_a_full_link_first() {
+    let (north, south) = (region("north"), region("south"));
+    let mut distances = RegionDistances::new(Arc::clone(&north));
+    let mut run = |from_ms: u64, near: u64, far: u64| {
+        for k in 0..30 {
+            distances.record(&north, RoundTripKind::Login, ms(near), after(from_ms + 100 * k));
+            distances.record(&south, RoundTripKind::Login, ms(far), after(from_ms + 100 * k));
+        }
+        let now = after(from_ms + 2_950);
+        let congestion = distances.congestion("south", now);
+        let classes = [
+            PriorityClass::Critical,
+            PriorityClass::Normal,
+            PriorityClass::Background,
+        ];
+        (
+            classes.map(|class| may_cross(class, congestion)),
+            distances.take_changes(now).len(),
+        )
+    };
+    assert_eq!(run(0, 15, 31), ([true, true, true], 0));
+    assert_eq!(run(3_000, 75, 91), ([true, true, true], 0));
+    assert_eq!(run(6_000, 15, 71), ([true, true, false], 1));
+    assert_eq!(run(9_000, 15, 131), ([true, false, false], 0));
+    assert_eq!(run(12_000, 15, 33), ([true, true, true], 1));
+    run(15_000, 15, 131);
+    assert_eq!(distances.congestion("south", after(20_000)), Duration::ZERO);
+}
+
 fn replica(distance_ms: u64, latency_ms: u64, running: u32) -> Candidate {
     Candidate {
         primary: false,
