Measure the link between regions by messages between instances

Cause: a login takes two round trips, which counted as one, and waits for a slot of a busy server, which could count as congestion of the link. Token requests reach no server, and each instance sends some a second. Their timeouts of 25 and 50 ms did not know of the region: with a round trip of 17 ms a small delay lets a request cross twice and take two tokens.

Token requests are a third kind of round trip, and logins no longer show congestion. A response after its timeout still counts as a measurement. The timeouts of token requests grow by the distance and by up to 50 ms of congestion. With one region both are zero.

--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -99,7 +99,10 @@
                 .rate_limiter
                 .on_request(&from, request_id, &organisation, request),
             PeerMessage::RateResponse { request_id, response } => {
-                self.rate_limiter.on_response(request_id, response);
+                let now = clock::now();
+                if let Some(took) = self.rate_limiter.on_response(request_id, response, now) {
+                    self.pool.on_peer_round_trip(&from, took, now);
+                }
             }
             PeerMessage::ViewRequest { request_id, cursor } => {
                 self.notify_control(ControlEvent::ViewRequest {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -195,7 +195,10 @@
         };
         let limiter_peers = peers.clone();
         let send_to = move |to: &InstanceId, message| limiter_peers.send(to, &message);
-        let rate_limiter = Rc::new(OperationRateLimiter::new(limiter_state, Box::new(send_to)));
+        let delay_pool = Rc::clone(&pool);
+        let peer_delay = move |to: &InstanceId| delay_pool.peer_delay(to, clock::now());
+        let rate_limiter = OperationRateLimiter::new(limiter_state, Box::new(send_to));
+        let rate_limiter = Rc::new(rate_limiter.with_peer_delay(Box::new(peer_delay)));
         let cx = Rc::new(SessionContext {
             pool: Rc::clone(&pool),
             rate_limiter: Rc::clone(&rate_limiter),
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -39,7 +39,7 @@
 pub use connection_limits::ConnectionLimits;
 pub use connection_wait::connection_wait_deadline;
 pub use crossing::may_cross;
-pub use operation_rate_limiter::{OperationRateLimiter, SendToPeer};
+pub use operation_rate_limiter::{OperationRateLimiter, PeerDelay, SendToPeer};
 pub use pace::{PaceCause, PaceEnd, PaceEvent, PaceShare, ServerPace};
 pub use placement::{Candidate, ReplicaLag, choose_server};
 pub use pool::{Pool, PoolError, PoolSettings};
--- a/crates/gateway/src/traffic/operation_rate_limiter.rs
+++ b/crates/gateway/src/traffic/operation_rate_limiter.rs
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{Incarnation, InstanceId, Time};
@@ -21,16 +21,21 @@
 const TOKEN_WAIT_DIVISOR: u32 = 4;
 /// Upper bound of the wait for a token, whatever the route's target latency.
 const MAX_TOKEN_WAIT: Duration = Duration::from_millis(150);
-/// Timeouts of the successive requests to a rate coordinator. A datagram may be lost, so the request is sent a second
+/// Timeouts of the successive requests to a rate coordinator, in addition to its distance. A datagram may be lost, so the request is sent a second
 /// time.
 const COORDINATOR_TIMEOUTS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(50)];
 
+/// Most requests without a response in time that are remembered.
+const MAX_TIMED_OUT: usize = 64;
 /// Timeout of a request to the substitute of a coordinator that does not answer.
 const SUBSTITUTE_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// Sends a datagram to one instance, without confirmation of its delivery.
 pub type SendToPeer = Box<dyn Fn(&InstanceId, PeerMessage)>;
 
+/// How much longer a round trip to an instance takes than one within the region of this instance.
+pub type PeerDelay = Box<dyn Fn(&InstanceId) -> Duration>;
+
 /// Admits the operations of callers at the rate of their organisation. Requests tokens from the rate coordinators, and
 /// decides by its [`RateLimiterState`] when this instance is the coordinator or the coordinator does not respond.
 pub struct OperationRateLimiter {
@@ -38,8 +43,11 @@
     send_to: SendToPeer,
     /// Number of the next request, which its response repeats.
     next_request_id: Cell<u64>,
-    /// Requests that await a response, by number.
-    pending: RefCell<HashMap<u64, Sender<TokenResponse>>>,
+    /// Requests that await a response, by number, with the time of sending.
+    pending: RefCell<HashMap<u64, (Time, Sender<TokenResponse>)>>,
+    /// The last requests whose response did not come in time. Their responses still tell how long the round trip took.
+    timed_out: RefCell<VecDeque<(u64, Time)>>,
+    peer_delay: PeerDelay,
 }
 
 impl std::fmt::Debug for OperationRateLimiter {
@@ -58,9 +66,17 @@
             send_to,
             next_request_id: Cell::new(0),
             pending: RefCell::default(),
+            timed_out: RefCell::default(),
+            peer_delay: Box::new(|_| Duration::ZERO),
         }
     }
 
+    /// Waits longer for responses of distant instances.
+    #[must_use]
+    pub fn with_peer_delay(self, peer_delay: PeerDelay) -> Self {
+        Self { peer_delay, ..self }
+    }
+
     /// Buckets that this instance coordinates, and its reservations at other coordinators. The owner configures them
     /// from each new cluster snapshot.
     pub const fn state(&self) -> &RefCell<RateLimiterState> {
@@ -173,7 +189,8 @@
         let request_id = self.next_request_id.get();
         self.next_request_id.set(request_id + 1);
         let (tx, rx) = async_channel::bounded(1);
-        self.pending.borrow_mut().insert(request_id, tx);
+        let sent_at = clock::now();
+        self.pending.borrow_mut().insert(request_id, (sent_at, tx));
         let message = PeerMessage::RateRequest {
             request_id,
             organisation: Arc::clone(organisation),
@@ -181,12 +198,17 @@
         };
         (self.send_to)(coordinator, message);
         let received = async { rx.recv().await.ok() };
+        let timeout = timeout + (self.peer_delay)(coordinator);
         let expired = async {
             Timer::after(timeout).await;
             None
         };
         let response = received.or(expired).await;
-        self.pending.borrow_mut().remove(&request_id);
+        if self.pending.borrow_mut().remove(&request_id).is_some() {
+            let mut timed_out = self.timed_out.borrow_mut();
+            timed_out.truncate(MAX_TIMED_OUT - 1);
+            timed_out.push_front((request_id, sent_at));
+        }
         response
     }
 
@@ -203,10 +225,18 @@
         }
     }
 
-    /// Handles the response to a token request. A response after the timeout is ignored, and its token is lost.
-    pub fn on_response(&self, request_id: u64, response: TokenResponse) {
-        if let Some(pending) = self.pending.borrow_mut().remove(&request_id) {
-            let _delivered = pending.try_send(response);
-        }
+    /// Handles the response to a token request. A response after the timeout is ignored, and its token is lost. Returns how
+    /// long the round trip took, if the request is known.
+    pub fn on_response(&self, request_id: u64, response: TokenResponse, now: Time) -> Option<Duration> {
+        let pending = self.pending.borrow_mut().remove(&request_id);
+        let sent_at = if let Some((sent_at, response_tx)) = pending {
+            let _delivered = response_tx.try_send(response);
+            sent_at
+        } else {
+            let mut timed_out = self.timed_out.borrow_mut();
+            let known = timed_out.iter().position(|(id, _)| *id == request_id)?;
+            timed_out.remove(known)?.1
+        };
+        Some(now.saturating_since(sent_at))
     }
 }
--- a/crates/gateway/src/traffic/pool_distances.rs
+++ b/crates/gateway/src/traffic/pool_distances.rs
@@ -5,8 +5,12 @@
 use super::pool::Pool;
 use super::region_distances::{RegionDistances, RoundTripKind};
 use crate::Connector;
+use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{InstanceId, Time};
+
+/// Most that congestion adds to the expected time of a response. A caller waits for it.
+const MAX_CONGESTION_DELAY: Duration = Duration::from_millis(50);
 
 impl<C> Pool<C>
 where
@@ -33,6 +37,34 @@
         }
     }
 
+    /// Records that another instance answered a request after `took`.
+    pub fn on_peer_round_trip(&self, from: &InstanceId, took: Duration, now: Time) {
+        if let (Some(region), Some(distances)) =
+            (self.region_of_peer(from), self.distances.borrow_mut().as_mut())
+        {
+            distances.record(&region, RoundTripKind::PeerMessage, took, now);
+        }
+    }
+
+    /// How much longer a round trip to another instance takes now than one within the own region.
+    pub fn peer_delay(&self, to: &InstanceId, now: Time) -> Duration {
+        let distances = self.distances.borrow();
+        let delay = distances.as_ref().zip(self.region_of_peer(to));
+        delay.map_or(Duration::ZERO, |(distances, region)| {
+            let congestion = distances.congestion(&region, now);
+            distances.distance(&region, now) + congestion.min(MAX_CONGESTION_DELAY)
+        })
+    }
+
+    fn region_of_peer(&self, id: &InstanceId) -> Option<Arc<str>> {
+        let snapshot = self.snapshot.borrow();
+        let member = snapshot.members.binary_search_by(|m| m.id.cmp(id)).ok()?;
+        self.settings
+            .regions
+            .of(&snapshot.members[member].domain)
+            .map(Arc::clone)
+    }
+
     /// Counts a connection lease at a server of another region.
     pub(super) fn count_crossing(&self, lease: &ConnectionLease<C>) {
         if !self.settings.regions.are_several() {
--- a/crates/gateway/src/traffic/region_distances.rs
+++ b/crates/gateway/src/traffic/region_distances.rs
@@ -1,7 +1,8 @@
-//! Measured round trips to the backend servers of each region.
+//! Measured round trips to the instances and backend servers of each region.
 //!
 //! Statements say little of the distance, since execution takes most of their time. Logins all cost a server the same,
-//! and session commands take no execution slot, so the shortest of them differ between regions by the round trip.
+//! and session commands and messages between instances take no execution slot, so the shortest of them differ between
+//! regions by the round trip.
 
 use super::crossing::may_cross;
 use super::recent_minimum::RecentMinimum;
@@ -18,14 +19,28 @@
 /// What was measured; only like is compared with like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RoundTripKind {
+    /// A request to another instance.
+    PeerMessage,
     /// A command that takes no execution slot.
     SessionCommand,
-    /// The start of a connection.
+    /// The start of a connection: one round trip for the connection, and one for the login.
     Login,
 }
 
 impl RoundTripKind {
-    const ALL: [Self; 2] = [Self::SessionCommand, Self::Login];
+    const ALL: [Self; 3] = [Self::PeerMessage, Self::SessionCommand, Self::Login];
+
+    const fn round_trips(self) -> u32 {
+        match self {
+            Self::PeerMessage | Self::SessionCommand => 1,
+            Self::Login => 2,
+        }
+    }
+
+    /// Whether a long time shows that the link is congested. A login also waits for a slot of a busy server.
+    const fn shows_congestion(self) -> bool {
+        matches!(self, Self::PeerMessage | Self::SessionCommand)
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -70,7 +85,7 @@
         }
     }
 
-    /// Records that a request to a server of `region` was answered after `took`.
+    /// Records that a request to an instance or server of `region` was answered after `took`.
     pub fn record(&mut self, region: &Arc<str>, kind: RoundTripKind, took: Duration, now: Time) {
         let known = self.regions.entry(Arc::clone(region)).or_default();
         let round_trips = &mut known[kind as usize];
@@ -85,9 +100,10 @@
             let round_trips = &self.regions.get(region)?[kind as usize];
             round_trips.base.current(now)
         };
-        let distances = RoundTripKind::ALL
-            .into_iter()
-            .filter_map(|kind| Some(base(region, kind)?.saturating_sub(base(&self.own, kind)?)));
+        let distances = RoundTripKind::ALL.into_iter().filter_map(|kind| {
+            let difference = base(region, kind)?.saturating_sub(base(&self.own, kind)?);
+            Some(difference / kind.round_trips())
+        });
         distances.min().unwrap_or_default()
     }
 
@@ -96,7 +112,8 @@
     pub fn congestion(&self, region: &str, now: Time) -> Duration {
         let excess = |region: &str| {
             let known = self.regions.get(region)?;
-            let excess = known.iter().filter_map(|r| r.excess(now));
+            let kinds = RoundTripKind::ALL.into_iter().filter(|k| k.shows_congestion());
+            let excess = kinds.filter_map(|kind| known[kind as usize].excess(now));
             excess.min()
         };
         let own = excess(&self.own).unwrap_or_default();
