--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -6,7 +6,7 @@
 use super::usage_task::{UsageContext, UsageState};
 use crate::usage::UsageMessage;
 use crate::view::{ViewCursor, ViewPage};
-use crate::{ClusterSnapshot, Connector, Discovery, PeerMessage, PrimaryRecord, Promoter, clock};
+use crate::{ClusterSnapshot, Connector, Discovery, PeerMessage, PrimaryRecord, Promoter, Regions, clock};
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -84,6 +84,8 @@
 pub struct ControlSettings {
     /// Entry that this instance writes to the instance registry.
     pub instance: ListedInstance,
+    /// Regions of the failure domains.
+    pub regions: Regions,
 }
 
 /// Channels and shared state between the control thread and the traffic thread.
--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -73,7 +73,13 @@
                 continue;
             };
             match Envelope::open(&buf, secret) {
-                Ok(envelope) => self.on_envelope(envelope),
+                Ok(envelope) => {
+                    if self.settings.regions.are_several() {
+                        let mut readers = self.peers.compact_readers.borrow_mut();
+                        readers.on_envelope(&envelope.from, envelope.incarnation, envelope.reads_compact);
+                    }
+                    self.on_envelope(envelope);
+                }
                 Err(e) => log::debug!(error:% = e; "dropped an invalid datagram"),
             }
         }
@@ -98,7 +104,10 @@
                 .rate_limiter
                 .on_request(&from, request_id, &organisation, request),
             PeerMessage::RateResponse { request_id, response } => {
-                self.rate_limiter.on_response(request_id, response);
+                let now = clock::now();
+                if let Some(took) = self.rate_limiter.on_response(request_id, response, now) {
+                    self.pool.on_peer_round_trip(&from, took, now);
+                }
             }
             PeerMessage::ViewRequest { request_id, cursor } => {
                 self.notify_control(ControlEvent::ViewRequest {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -13,7 +13,7 @@
 use crate::rate::RateLimiterState;
 use crate::traffic::{OperationRateLimiter, Pool, PoolSettings, SessionContext, SessionSettings};
 use crate::usage::{FleetClock, SharedFleetClock, UsageSettings};
-use crate::{ClusterSnapshot, Connector, Discovery, Promoter, clock};
+use crate::{ClusterSnapshot, Connector, Discovery, Promoter, Regions, clock};
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -65,6 +65,8 @@
     pub instance: ListedInstance,
     /// Address of the datagram socket for peers.
     pub peers: SocketAddr,
+    /// Regions of the failure domains.
+    pub regions: Regions,
     /// Settings that can be changed while the instance runs.
     pub runtime: RuntimeSettings,
     /// Longest idle time inside a transaction when the configuration sets none.
@@ -182,18 +184,21 @@
         };
         let control_settings = ControlSettings {
             instance: settings.instance.clone(),
+            regions: settings.regions.clone(),
         };
         let registration = &settings.instance;
         let socket = Rc::new(PeerSocket::bind(
             settings.peers,
             registration.id.clone(),
             registration.incarnation,
+            settings.regions.are_several(),
         )?);
         let control = ControlThread::spawn(control_settings, channels, open_clients)?;
         let pool = Pool::new(
             connector,
             PoolSettings {
                 domain: Arc::from(registration.domain.as_str()),
+                regions: settings.regions.clone(),
                 seed: registration.incarnation.0,
             },
             Rc::clone(&metrics),
@@ -203,10 +208,14 @@
         let peers = Peers {
             socket,
             snapshot: Arc::clone(&snapshot),
+            compact_readers: Rc::default(),
         };
         let limiter_peers = peers.clone();
         let send_to = move |to: &InstanceId, message| limiter_peers.send(to, &message);
-        let rate_limiter = Rc::new(OperationRateLimiter::new(limiter_state, Box::new(send_to)));
+        let delay_pool = Rc::clone(&pool);
+        let peer_delay = move |to: &InstanceId| delay_pool.peer_delay(to, clock::now());
+        let rate_limiter = OperationRateLimiter::new(limiter_state, Box::new(send_to));
+        let rate_limiter = Rc::new(rate_limiter.with_peer_delay(Box::new(peer_delay)));
         let cx = Rc::new(SessionContext {
             pool: Rc::clone(&pool),
             rate_limiter: Rc::clone(&rate_limiter),
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -2,11 +2,12 @@
 
 use super::connection_lease::ConnectionLease;
 use super::ordered_connection::OrderedConnection;
+use super::region_distances::RegionDistances;
 use super::service_pool::{QueueKind, ServicePool};
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
 use crate::metrics::Metrics;
-use crate::{Answer, CallerError, ClusterSnapshot, Connector};
+use crate::{Answer, CallerError, ClusterSnapshot, Connector, Regions};
 use async_executor::LocalExecutor;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -22,6 +23,8 @@
 pub struct PoolSettings {
     /// Failure domain of this instance.
     pub domain: Arc<str>,
+    /// Regions of the failure domains.
+    pub regions: Regions,
     /// Seed of the random choices between servers.
     pub seed: u64,
 }
@@ -61,6 +64,8 @@
     pub(super) snapshot: RefCell<Arc<ClusterSnapshot>>,
     pub(super) services: RefCell<Services<C>>,
     pub(super) rng: RefCell<SmallRng>,
+    /// Round trips to the regions; `None` if there is only one.
+    pub(super) distances: RefCell<Option<RegionDistances>>,
     /// For each service, the epoch of the newest primary record such that this instance uses no primary of a lower
     /// epoch.
     pub(super) released: RefCell<HashMap<Arc<str>, u64>>,
@@ -89,7 +94,12 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         let rng = RefCell::new(SmallRng::seed_from_u64(settings.seed));
+        let distances = settings
+            .regions
+            .own()
+            .map(|own| RegionDistances::new(Arc::clone(own)));
         Rc::new(Self {
+            distances: RefCell::new(distances),
             connector,
             settings,
             metrics,
@@ -120,7 +130,7 @@
                 .borrow_mut()
                 .entry(Arc::clone(service))
                 .or_insert_with(ServicePool::new)
-                .update(service, snapshot, now);
+                .update(service, snapshot, now, &mut *self.rng.borrow_mut());
             self.update_primary(service, snapshot, now);
             self.dispatch(service, now);
         }
@@ -129,12 +139,14 @@
     /// Rejects expired waiters, closes connections that are idle for too long, and stops the use of primaries
     /// whose view lease is about to expire. Called periodically.
     pub fn tick(self: &Rc<Self>, now: Time) {
+        self.report_congestion(now);
         let snapshot = self.snapshot();
         let names: Vec<_> = self.services.borrow().keys().map(Arc::clone).collect();
         for service in &names {
             self.update_primary(service, &snapshot, now);
             self.dispatch(service, now);
             self.close_idle(service, now);
+            self.report_paces(service, now);
         }
     }
 
@@ -256,7 +268,8 @@
         if let Some(server) = pool.servers.get_mut(&lease.server) {
             server.on_point(point);
             if answer.failure() != Some(CallerError::Busy) {
-                server.on_answer(now.saturating_since(sent_at), is_statement, now);
+                let mut rng = self.rng.borrow_mut();
+                server.on_answer(now.saturating_since(sent_at), is_statement, now, &mut *rng);
             }
         }
     }
@@ -293,6 +306,7 @@
         self.with_server(&lease.service, &lease.server, |s| {
             s.latency.on_overloaded();
             s.health.on_overloaded(s.in_use, now, &mut *rng);
+            s.pace.on_overloaded(now);
         });
     }
 
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -2,6 +2,7 @@
 
 use super::connection_lease::ConnectionLease;
 use super::connection_wait::connection_wait_deadline;
+use super::crossing::CROSSING_RETRY;
 use super::pool::{LeaseResult, Pool, PoolError};
 use super::primary_wait::{check_primary_wait, queue_error};
 use super::requirement::ServerRequirement;
@@ -59,6 +60,7 @@
         let served = async { rx.recv().await.unwrap_or(Err(PoolError::Deadline)) };
         let lease = served.or(expired).await?;
         let waited = clock::now().saturating_since(now);
+        self.count_crossing(&lease);
         self.metrics
             .on_placed(lease_request.service, lease.epoch.is_some(), waited);
         Ok(lease)
@@ -86,9 +88,24 @@
                 });
             }
         }
+        let distances = self.distances.borrow();
+        let locality = self.locality(distances.as_ref());
+        if !pool.may_reach(queue_kind, lease_request.class, &locality, now) {
+            self.metrics.on_crossing_refusal(lease_request.service);
+            return Err(PoolError::Overloaded {
+                retry_after: CROSSING_RETRY,
+            });
+        }
         let ahead = pool
             .queue(queue_kind)
             .requests_ahead(lease_request.organisation, 1, lease_request.class);
+        let turn = pool.paced_turn(queue_kind, ahead, now);
+        if turn >= wait_deadline {
+            self.metrics.on_pace_refusal(lease_request.service);
+            return Err(PoolError::Overloaded {
+                retry_after: turn.saturating_since(now),
+            });
+        }
         let connections = pool.connection_capacity(queue_kind);
         if !pool.queue(queue_kind).is_empty() {
             let admission = pool.admission(queue_kind);
@@ -121,7 +138,9 @@
                 let Some(pool) = services.get_mut(service) else {
                     return;
                 };
-                pool.next_assignment(&self.settings.domain, now, &mut *self.rng.borrow_mut())
+                let distances = self.distances.borrow();
+                let locality = self.locality(distances.as_ref());
+                pool.next_assignment(&locality, now, &mut *self.rng.borrow_mut())
             };
             let Some(assignment) = assignment else {
                 return;
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,9 +1,11 @@
 //! The connections of one service, and the queues of requests that wait for them.
 
 use super::connection_limits::ConnectionLimits;
+use super::locality::Locality;
+use super::pace::ServerPace;
 use super::placement::{Candidate, choose_server};
 use super::requirement::ServerRequirement;
-use super::server_pool::{IdleConnection, ServerPool};
+use super::server_pool::{IdleConnection, ServerPool, pace_share};
 use crate::connection_state::{ConnectionState, SessionValues};
 use crate::{ClusterSnapshot, PrimaryView};
 use async_channel::Sender;
@@ -18,6 +20,8 @@
 
 /// Minimum time between two samples of the primary's log point, unless the term has increased.
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(40);
+/// Most reads that one assignment sets aside because all servers with room are in a region that they may not cross to.
+const MAX_SET_ASIDE: usize = 8;
 /// Time for which a server stays in use after it disappeared from the list. Entries of live servers expire while the
 /// store is unavailable.
 const UNLISTED_SERVER_GRACE: Duration = Duration::from_secs(3);
@@ -78,7 +82,7 @@
     /// Servers that are no longer listed, with the time at which this was noticed.
     unlisted: BTreeMap<Arc<str>, Time>,
     /// Ids of the servers that may get new work.
-    accepting_servers: Vec<Arc<str>>,
+    pub(super) accepting_servers: Vec<Arc<str>>,
 }
 
 impl<C, R> ServicePool<C, R> {
@@ -101,25 +105,38 @@
     }
 
     /// Applies the servers, limits and failure domains of a new cluster snapshot to the service.
-    pub(super) fn update(&mut self, service: &str, snapshot: &ClusterSnapshot, now: Time) {
+    pub(super) fn update<G>(&mut self, service: &str, snapshot: &ClusterSnapshot, now: Time, rng: &mut G)
+    where
+        G: Rng,
+    {
+        // A server of the first list did not start just now, as far as this instance knows.
+        let is_first_list = self.servers.is_empty();
         let listed = snapshot.servers.values().filter(|s| *s.service == *service);
         for server in listed {
             self.unlisted.remove(&server.id);
+            let share = pace_share(server, snapshot.fleet_size());
             match self.servers.get_mut(&server.id) {
                 Some(known)
                     if known.server.address == server.address
                         && known.server.started_ms == server.started_ms =>
                 {
                     known.server = Arc::clone(server);
+                    known.pace.set_share(share, now);
                 }
                 Some(known) => {
                     known.revoke();
                     let in_use = known.in_use;
-                    *known = ServerPool::new(Arc::clone(server));
+                    known.pace.set_share(share, now);
+                    known.pace.on_started(now, rng);
+                    *known = ServerPool::new(Arc::clone(server), known.pace.clone());
                     known.in_use = in_use;
                 }
                 None => {
-                    let pool = ServerPool::new(Arc::clone(server));
+                    let mut pace = ServerPace::new(share);
+                    if !is_first_list {
+                        pace.on_started(now, rng);
+                    }
+                    let pool = ServerPool::new(Arc::clone(server), pace);
                     self.servers.insert(Arc::clone(&server.id), pool);
                 }
             }
@@ -263,7 +280,7 @@
     /// Removes the next waiter for which a server is available from its queue. The primary's queue goes first.
     pub(super) fn next_assignment<G>(
         &mut self,
-        domain: &str,
+        locality: &Locality<'_>,
         now: Time,
         rng: &mut G,
     ) -> Option<Assignment<C, R>>
@@ -271,7 +288,7 @@
         G: Rng,
     {
         self.next_primary_assignment(now)
-            .or_else(|| self.next_read_assignment(domain, now, rng))
+            .or_else(|| self.next_read_assignment(locality, now, rng))
     }
 
     fn next_primary_assignment(&mut self, now: Time) -> Option<Assignment<C, R>> {
@@ -284,28 +301,48 @@
             return None;
         }
         let (queued, waiter) = self.primary_queue.pop(now)?;
-        Some(self.assign(queued, waiter, id))
+        Some(self.assign(queued, waiter, id, now))
     }
 
-    fn next_read_assignment<G>(&mut self, domain: &str, now: Time, rng: &mut G) -> Option<Assignment<C, R>>
+    fn next_read_assignment<G>(
+        &mut self,
+        locality: &Locality<'_>,
+        now: Time,
+        rng: &mut G,
+    ) -> Option<Assignment<C, R>>
     where
         G: Rng,
     {
         if self.read_queue.is_empty() || !self.any_available(now) {
             return None;
         }
-        let (queued, waiter) = self.read_queue.pop(now)?;
         let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
-        let candidates: Vec<_> = ids
-            .iter()
-            .map(|id| self.candidate(id, &waiter, domain, now))
-            .collect();
-        let chosen = choose_server(&candidates, rng).expect("an available server");
-        Some(self.assign(queued, waiter, Arc::clone(&ids[chosen])))
+        let mut set_aside = Vec::new();
+        let mut assignment = None;
+        while assignment.is_none()
+            && set_aside.len() < MAX_SET_ASIDE
+            && let Some((queued, waiter)) = self.read_queue.pop(now)
+        {
+            let candidates: Vec<_> = ids
+                .iter()
+                .map(|id| self.candidate(id, &queued, &waiter, locality, now))
+                .collect();
+            match choose_server(&candidates, rng) {
+                Some(chosen) => {
+                    assignment = Some(self.assign(queued, waiter, Arc::clone(&ids[chosen]), now));
+                }
+                None => set_aside.push((queued, waiter)),
+            }
+        }
+        for (queued, waiter) in set_aside {
+            // A refused push means that the time of the request is over, which it learns from its closed channel.
+            drop(self.read_queue.push(queued, waiter, now));
+        }
+        assignment
     }
 
     /// Servers for queued reads. The primary is left out while requests wait in its own queue.
-    fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
+    pub(super) fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
         let primary_has_waiters = !self.primary_queue.is_empty();
         self.accepting_servers
             .iter()
@@ -317,7 +354,14 @@
             .any(|id| self.servers[id].available(self.limits.max_open, now))
     }
 
-    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, domain: &str, now: Time) -> Candidate {
+    fn candidate(
+        &self,
+        id: &Arc<str>,
+        queued: &QueuedRequest,
+        waiter: &Waiter<R>,
+        locality: &Locality<'_>,
+        now: Time,
+    ) -> Candidate {
         let pool = &self.servers[id];
         let primary = self.is_primary(id);
         let holds_point = match waiter.requirement {
@@ -329,16 +373,24 @@
         };
         Candidate {
             primary,
-            local: *pool.server.domain == *domain,
+            local: *pool.server.domain == *locality.domain,
+            distance: locality.distance(&pool.server.domain, now),
             latency: pool.latency.estimate(),
             running: pool.in_use,
             has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
-            available: pool.available(self.limits.max_open, now),
+            available: pool.available(self.limits.max_open, now)
+                && locality.may_reach(&pool.server.domain, queued.class, now),
             holds_point,
         }
     }
 
-    fn assign(&mut self, queued: QueuedRequest, waiter: Waiter<R>, server: Arc<str>) -> Assignment<C, R> {
+    fn assign(
+        &mut self,
+        queued: QueuedRequest,
+        waiter: Waiter<R>,
+        server: Arc<str>,
+        now: Time,
+    ) -> Assignment<C, R> {
         let limit = self.limits.max_open;
         let pool = self.servers.get_mut(&server).expect("a known server");
         let values = &waiter.values;
@@ -353,6 +405,7 @@
             ConnectionSource::Connect
         };
         pool.in_use += 1;
+        pool.pace.on_sent(now);
         Assignment {
             queued,
             waiter,
