Give each priority of a configuration a class of its own

The priorities 0 and 1 became one class, so the most urgent route of a site shared its queue and its part of the rate with the route that has most of the load. A class is now a rank, up to 8, with four times the weight of the next one. A configuration whose priorities three classes tell apart keeps these classes; any other one has OverloadOrder::ByRank.

Ruled out: dense ranks for all configurations, which would change weights and rate parts of sites with the priorities 1 and 3 or 2 and 3; a fourth member of the enum, which leaves the same fault one priority further. Token requests name three classes and carry a lower rank in an optional field, so that earlier builds read them.

The rate limiter leaves 0.1 s of the rate a rank, as before for three.

Run: tests of wasabiyard-model and wasabiyard-schedule, gateway rates and rate_partition, node priorities and wire.

--- a/crates/bench/src/slopes/schedule_slope.rs
+++ b/crates/bench/src/slopes/schedule_slope.rs
@@ -27,9 +27,9 @@
         organisation: Arc::clone(&names[i % ORGANISATIONS]),
         weight: 1 + (i % 3) as u32,
         class: [
-            PriorityClass::Critical,
-            PriorityClass::Normal,
-            PriorityClass::Background,
+            PriorityClass::CRITICAL,
+            PriorityClass::NORMAL,
+            PriorityClass::BACKGROUND,
         ][i % 3],
         deadline: Time::from_millis(1_000_000 + i as u64),
     };
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -5,6 +5,17 @@
 use std::time::Duration;
 use wasabiyard_model::{PriorityClass, Version};
 
+/// Whom an overload of a backend server delays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum OverloadOrder {
+    /// All classes alike. The classes order only the queues of an instance.
+    #[default]
+    Shared,
+    /// Less urgent classes before more urgent ones, also at servers that refuse work. Applies where a configuration has
+    /// more priorities than three classes tell apart.
+    ByRank,
+}
+
 /// Consistency that the reads of a route need.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -68,6 +79,8 @@
     pub keys: HashMap<Arc<str>, Arc<OrganisationRule>>,
     /// Organisations by name.
     pub organisations: HashMap<Arc<str>, Arc<OrganisationRule>>,
+    /// Whom an overload delays; follows from the priorities of the routes.
+    pub overload_order: OverloadOrder,
     /// Longest idle time inside a transaction; `None` leaves it to the instance's own setting.
     pub transaction_idle: Option<Duration>,
 }
--- a/crates/gateway/src/control/apply_reads.rs
+++ b/crates/gateway/src/control/apply_reads.rs
@@ -35,7 +35,10 @@
             });
         let snapshot = &mut state.snapshot;
         if let Some(new) = configuration.filter(|new| known.is_none_or(|v| v < new.version)) {
-            log::info!(version:% = new.version, routes = new.routes.len(); "configuration in force");
+            log::info!(
+                version:% = new.version, routes = new.routes.len(), overload_order:? = new.overload_order;
+                "configuration in force"
+            );
             snapshot.configuration = Some(new);
         }
         if is_proof {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,7 +34,7 @@
 pub use backend_server::{BackendServer, Role};
 pub use caller_error::CallerError;
 pub use cluster_snapshot::{ClusterSnapshot, NEW_WORK_MARGIN, PrimaryView, VIEW_LEASE};
-pub use configuration::{Configuration, Freshness, OrganisationRule, RouteRule, ServiceRule};
+pub use configuration::{Configuration, Freshness, OrganisationRule, OverloadOrder, RouteRule, ServiceRule};
 pub use connection::{
     CallerLink, Command, ConnectOutcome, ConnectionError, Connector, IdleState, Login, ServerConnection,
     ServerStatus, Target,
--- a/crates/gateway/src/rate/coordinator.rs
+++ b/crates/gateway/src/rate/coordinator.rs
@@ -146,11 +146,7 @@
     /// Tokens that an operation of a priority class leaves for more urgent ones, so that an organisation at its limit
     /// is refused operations that can wait rather than urgent ones.
     fn headroom(&self, class: PriorityClass) -> f64 {
-        let headroom_s = match class {
-            PriorityClass::Critical => 0.0,
-            PriorityClass::Normal => PRIORITY_HEADROOM_S,
-            PriorityClass::Background => 2.0 * PRIORITY_HEADROOM_S,
-        };
+        let headroom_s = PRIORITY_HEADROOM_S * class.rank() as f64;
         (self.limits.rate * headroom_s).min(self.limits.capacity / 2.0)
     }
 
--- a/crates/gateway/src/rate/mod.rs
+++ b/crates/gateway/src/rate/mod.rs
@@ -21,15 +21,17 @@
 mod placement;
 mod rate_limiter_state;
 mod token_bucket;
+mod token_request;
 
 pub use coordinator::RateCoordinator;
 pub use coordinator_link::CoordinatorLink;
 pub use placement::{coordinator_of, substitute_of};
 pub use rate_limiter_state::RateLimiterState;
+pub use token_request::TokenRequest;
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
-use wasabiyard_model::{Incarnation, PriorityClass, Time};
+use wasabiyard_model::{Incarnation, Time};
 
 /// Decision on one operation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,16 +46,6 @@
     },
 }
 
-/// Request for one token of an organisation's rate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TokenRequest {
-    /// Priority class of the operation's route; less urgent priority classes leave tokens for more urgent ones.
-    pub class: PriorityClass,
-    /// Longest wait for a token that the operation accepts. It is refused at once when a token takes longer.
-    #[serde(rename = "patience")]
-    pub max_wait: Duration,
-}
-
 /// Message between the coordinator of an organisation and its substitute. The substitute sends one periodically, and the
 /// coordinator replies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/tests/access.rs
+++ b/crates/gateway/tests/access.rs
@@ -15,7 +15,7 @@
         freshness: Freshness::Latest,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(200),
-        class: PriorityClass::Normal,
+        class: PriorityClass::NORMAL,
         public: false,
     };
     Configuration {
--- a/crates/gateway/tests/overloaded_transaction.rs
+++ b/crates/gateway/tests/overloaded_transaction.rs
@@ -75,7 +75,7 @@
         freshness: Freshness::Latest,
         timeout: ROUTE_TIMEOUT,
         target_latency: Duration::from_millis(200),
-        class: PriorityClass::Normal,
+        class: PriorityClass::NORMAL,
         public: true,
     };
     let configuration = Configuration {
--- a/crates/gateway/tests/rate_partition.rs
+++ b/crates/gateway/tests/rate_partition.rs
@@ -18,7 +18,7 @@
 const STEP: Duration = Duration::from_millis(10);
 const INCARNATION: Incarnation = Incarnation(1);
 const REQUEST: TokenRequest = TokenRequest {
-    class: PriorityClass::Normal,
+    class: PriorityClass::NORMAL,
     max_wait: Duration::from_millis(50),
 };
 
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -1,6 +1,7 @@
 //! Tests of distributed rate limiting: the fleet as a whole enforces an organisation's rate, and admits what is within
 //! it.
 
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_gateway::OrganisationRule;
@@ -12,7 +13,7 @@
 const ORGANISATION: &str = "zoo";
 const START: Time = Time::from_millis(60_000);
 const REQUEST: TokenRequest = TokenRequest {
-    class: PriorityClass::Critical,
+    class: PriorityClass::CRITICAL,
     max_wait: Duration::ZERO,
 };
 const STEP: Duration = Duration::from_millis(10);
@@ -231,9 +232,9 @@
         // 200 operations a second against 100, every tenth of them urgent.
         let urgent = step % 10 == 0;
         let class = if urgent {
-            PriorityClass::Critical
+            PriorityClass::CRITICAL
         } else {
-            PriorityClass::Normal
+            PriorityClass::NORMAL
         };
         let request = TokenRequest {
             class,
@@ -247,6 +248,69 @@
     assert!(refused[0] >= 700, "{} of 1,800 others refused", refused[0]);
 }
 
+/// An organisation at its limit must lose the operations of its least urgent routes first, also where there are more
+/// classes than three.
+#[test]
+fn each_rank_leaves_tokens_for_the_more_urgent_ones() {
+    let mut coordinator = RateCoordinator::open(100.0, 100.0, START);
+    let requester = InstanceId::from("i1");
+    let mut refused = [0_u32; 4];
+    for step in 0..4_000_u64 {
+        let rank = step as usize % refused.len();
+        let request = TokenRequest {
+            class: PriorityClass::from_rank(rank),
+            max_wait: Duration::from_millis(50),
+        };
+        let now = START + Duration::from_millis(step * 5);
+        if let RateDecision::Refused { .. } = coordinator.request_token(&requester, request, now).decision {
+            refused[rank] += 1;
+        }
+    }
+    assert!(refused[0] == 0 && refused[1] <= 100, "{refused:?}");
+    assert!(refused[2] >= 800 && refused[3] >= 800, "{refused:?}");
+}
+
+/// During a rollout an instance of a build with three classes must understand the requests of all others.
+#[test]
+fn earlier_builds_read_the_class_of_a_request() {
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    enum EarlierClass {
+        Critical,
+        Normal,
+        Background,
+    }
+    #[derive(Serialize, Deserialize)]
+    struct EarlierRequest {
+        class: EarlierClass,
+        patience: Duration,
+    }
+    for (rank, expected) in [
+        (0, EarlierClass::Critical),
+        (1, EarlierClass::Normal),
+        (2, EarlierClass::Background),
+        (5, EarlierClass::Background),
+    ] {
+        let request = TokenRequest {
+            class: PriorityClass::from_rank(rank),
+            max_wait: Duration::from_millis(50),
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&request, &mut bytes).expect("written");
+        let earlier: EarlierRequest = ciborium::from_reader(&*bytes).expect("read by an earlier build");
+        assert_eq!((earlier.class, earlier.patience), (expected, request.max_wait));
+        let read: TokenRequest = ciborium::from_reader(&*bytes).expect("read");
+        assert_eq!(read, request);
+    }
+    let earlier = EarlierRequest {
+        class: EarlierClass::Normal,
+        patience: Duration::ZERO,
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&earlier, &mut bytes).expect("written");
+    let read: TokenRequest = ciborium::from_reader(&*bytes).expect("read from an earlier build");
+    assert_eq!(read.class, PriorityClass::NORMAL);
+}
+
 /// When all instances restart, callers reconnect at once; the initial tokens must suffice for the first of them.
 #[test]
 fn first_operations_after_a_start_are_served() {
--- a/crates/model/src/manifest.rs
+++ b/crates/model/src/manifest.rs
@@ -202,7 +202,7 @@
             services: services.clone(),
             access,
             read_consistency,
-            class: section.parse_or("class", PriorityClass::Normal, "critical, normal or background")?,
+            class: section.parse_or("class", PriorityClass::NORMAL, "critical, normal or background")?,
             idempotent: section.parse_or("repeatable", false, "true or false")?,
             allows_anonymous: section.parse_or("open", false, "true or false")?,
             timeout: section.duration("timeout", "5s")?,
--- a/crates/model/tests/manifest.rs
+++ b/crates/model/tests/manifest.rs
@@ -43,7 +43,7 @@
     let report = &manifest.routes[manifest.route(service, "report").unwrap()];
     assert_eq!(
         (renew.access, renew.class, renew.idempotent),
-        (Access::Write, PriorityClass::Critical, false)
+        (Access::Write, PriorityClass::CRITICAL, false)
     );
     assert_eq!(
         report.read_consistency,
--- a/crates/schedule/src/fair_queue.rs
+++ b/crates/schedule/src/fair_queue.rs
@@ -1,20 +1,21 @@
 //! The queue of transactions that wait for a connection to one database.
 //!
-//! The classes share the connections 16:4:1 by start-time fair queueing, so a higher class slows a lower one but cannot
-//! starve it. Within a class, the organisations share by weight. The length is limited in total and for each
+//! Each class gets four times the connections of the next one by start-time fair queueing, so a higher class slows a lower
+//! one but cannot starve it. Within a class, the organisations share by weight. The length is limited in total and for each
 //! organisation. A request that arrives at a full queue displaces the newest request of the flow that is longest
 //! relative to its weight, if that flow is longer than the request's own. Otherwise a few busy organisations that keep
 //! the queue full would cause all requests of the others to be refused.
 
 use crate::class_queue::ClassQueue;
-use crate::flow::{served_up_to, virtual_cost};
+use crate::flow::served_up_to;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use wasabiyard_model::{NotRun, PriorityClass, Time};
 
-const CLASS_COUNT: usize = 3;
-/// Shares of the connections, indexed by [`PriorityClass`].
-const CLASS_WEIGHTS: [u32; CLASS_COUNT] = [16, 4, 1];
+/// Ratio of the connections of a class to those of the next one.
+const CLASS_WEIGHT_RATIO: u64 = 4;
+/// Advance in virtual time for one request of the most urgent class.
+const MOST_URGENT_VIRTUAL_COST: u64 = 62_500;
 
 /// Maximum lengths of a queue, in requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,9 +56,9 @@
 #[derive(Debug)]
 pub struct FairQueue<P> {
     bounds: QueueBounds,
-    classes: [ClassQueue; CLASS_COUNT],
+    classes: [ClassQueue; PriorityClass::COUNT],
     /// Start tag of the next request of each class, in the virtual time shared by the classes.
-    class_start_tags: [u64; CLASS_COUNT],
+    class_start_tags: [u64; PriorityClass::COUNT],
     /// Virtual time that the classes share: the start tag of the class that was served last.
     virtual_time: u64,
     /// Every queued request with its payload.
@@ -82,7 +83,7 @@
         Self {
             bounds,
             classes: Default::default(),
-            class_start_tags: [0; CLASS_COUNT],
+            class_start_tags: [0; PriorityClass::COUNT],
             virtual_time: 0,
             requests: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -135,11 +136,11 @@
     /// Removes and returns the request that gets the next connection, after dropping those whose deadline has passed.
     pub fn pop(&mut self, now: Time) -> Option<(QueuedRequest, P)> {
         self.drop_expired(now);
-        let nonempty = (0..CLASS_COUNT).filter(|c| self.classes[*c].len() > 0);
+        let nonempty = (0..PriorityClass::COUNT).filter(|c| self.classes[*c].len() > 0);
         let class = nonempty.min_by_key(|c| self.class_start_tags[*c])?;
         let ticket = self.classes[class].pop().expect("a class that is not empty");
         self.virtual_time = self.class_start_tags[class];
-        self.class_start_tags[class] += virtual_cost(CLASS_WEIGHTS[class]);
+        self.class_start_tags[class] += class_virtual_cost(class);
         Some(self.remove_entry(ticket))
     }
 
@@ -147,7 +148,7 @@
     pub fn remove(&mut self, ticket: Ticket) -> Option<P> {
         let (request, _) = self.requests.get(&ticket)?;
         let organisation = Arc::clone(&request.organisation);
-        self.classes[request.class as usize].remove(&organisation, ticket);
+        self.classes[request.class.rank()].remove(&organisation, ticket);
         Some(self.remove_entry(ticket).1)
     }
 
@@ -162,15 +163,15 @@
     /// input of [`AdmissionControl`](crate::AdmissionControl): an organisation with few requests does not wait for the
     /// whole queue.
     pub fn requests_ahead(&self, organisation: &str, weight: u32, class: PriorityClass) -> usize {
-        let own_class = class as usize;
+        let own_class = class.rank();
         let in_class = self.classes[own_class].requests_ahead(organisation, weight);
         let tag = self.class_start_tags[own_class].max(self.virtual_time)
-            + in_class as u64 * virtual_cost(CLASS_WEIGHTS[own_class]);
-        let others = (0..CLASS_COUNT).filter(|c| *c != own_class);
+            + in_class as u64 * class_virtual_cost(own_class);
+        let others = (0..PriorityClass::COUNT).filter(|c| *c != own_class);
         let in_others = others.map(|c| {
             served_up_to(
                 self.class_start_tags[c],
-                virtual_cost(CLASS_WEIGHTS[c]),
+                class_virtual_cost(c),
                 self.classes[c].len(),
                 tag,
             )
@@ -190,7 +191,7 @@
         let Some((longest, ticket)) = self.longest_flow(only_organisation) else {
             return false;
         };
-        let class = incoming.class as usize;
+        let class = incoming.class.rank();
         let incoming_len =
             self.classes[class].normalized_len_after_push(&incoming.organisation, incoming.weight);
         if longest <= incoming_len * class_scale(class) {
@@ -213,7 +214,7 @@
     }
 
     fn insert(&mut self, ticket: Ticket, request: QueuedRequest, payload: P) {
-        let class = request.class as usize;
+        let class = request.class.rank();
         if self.classes[class].len() == 0 {
             self.class_start_tags[class] = self.class_start_tags[class].max(self.virtual_time);
         }
@@ -255,6 +256,11 @@
 }
 
 /// Factor by which normalized flow lengths of a class become comparable with those of the highest class.
-fn class_scale(class: usize) -> u64 {
-    u64::from(CLASS_WEIGHTS[0] / CLASS_WEIGHTS[class])
+const fn class_scale(class: usize) -> u64 {
+    CLASS_WEIGHT_RATIO.pow(class as u32)
+}
+
+/// Advance in virtual time for one request of a class.
+const fn class_virtual_cost(class: usize) -> u64 {
+    MOST_URGENT_VIRTUAL_COST * class_scale(class)
 }
--- a/crates/schedule/tests/fair_queue.rs
+++ b/crates/schedule/tests/fair_queue.rs
@@ -9,9 +9,9 @@
 use wasabiyard_schedule::{FairQueue, QueueBounds, QueuedRequest, Ticket};
 
 const ALL_CLASSES: [PriorityClass; 3] = [
-    PriorityClass::Critical,
-    PriorityClass::Normal,
-    PriorityClass::Background,
+    PriorityClass::CRITICAL,
+    PriorityClass::NORMAL,
+    PriorityClass::BACKGROUND,
 ];
 
 fn request(organisation: &str, weight: u32, class: PriorityClass, deadline: Time) -> QueuedRequest {
@@ -92,7 +92,7 @@
             }
         }
         let (entry, ()) = queue.pop(Time::ZERO).expect("not empty");
-        served[entry.class as usize] += 1;
+        served[entry.class.rank()] += 1;
     }
     for (count, expected) in served.into_iter().zip([1_600_u32, 400, 100]) {
         assert!(count.abs_diff(expected) <= 2, "{served:?}");
@@ -119,7 +119,7 @@
                         let entry = request(
                             &format!("o{o}"),
                             *weight,
-                            PriorityClass::Normal,
+                            PriorityClass::NORMAL,
                             distant_deadline(),
                         );
                         let _refused = queue.push(entry, o, Time::ZERO);
@@ -148,13 +148,13 @@
         let entry = request(
             &format!("busy{}", i % 4),
             1,
-            PriorityClass::Normal,
+            PriorityClass::NORMAL,
             distant_deadline(),
         );
         queue.push(entry, "busy", Time::ZERO).expect("room");
     }
     for _ in 0..20 {
-        let entry = request("light", 1, PriorityClass::Normal, distant_deadline());
+        let entry = request("light", 1, PriorityClass::NORMAL, distant_deadline());
         queue
             .push(entry, "light", Time::ZERO)
             .expect("a request of a longer flow is displaced");
@@ -163,7 +163,7 @@
         queue.take_dropped(Time::ZERO),
         vec![("busy", NotRun::Overload); 20]
     );
-    let entry = request("busy0", 1, PriorityClass::Normal, distant_deadline());
+    let entry = request("busy0", 1, PriorityClass::NORMAL, distant_deadline());
     assert_eq!(
         queue.push(entry, "busy", Time::ZERO),
         Err(("busy", NotRun::Overload))
@@ -205,3 +205,25 @@
         );
     }
 }
+
+/// A class must get four times the connections of the next one however many classes are in use, and the last one must not
+/// starve.
+#[test]
+fn shares_fall_by_a_factor_of_four_from_rank_to_rank() {
+    let mut queue = FairQueue::new(QueueBounds {
+        database: 4_000,
+        organisation: 4_000,
+    });
+    for class in (0..4).map(PriorityClass::from_rank) {
+        for id in 0..900 {
+            let entry = request("zoo", 1, class, distant_deadline());
+            queue.push(entry, id, Time::ZERO).expect("the queue is not full");
+        }
+    }
+    let mut served = [0; 4];
+    for _ in 0..850 {
+        let (request, _) = queue.pop(Time::ZERO).expect("a request");
+        served[request.class.rank()] += 1;
+    }
+    assert_eq!(served, [640, 160, 40, 10]);
+}
--- a/crates/schedule/tests/overload.rs
+++ b/crates/schedule/tests/overload.rs
@@ -41,9 +41,9 @@
                 organisation: Arc::from(format!("o{}", rng.random_range(0..8_u32))),
                 weight: 1,
                 class: [
-                    PriorityClass::Critical,
-                    PriorityClass::Normal,
-                    PriorityClass::Background,
+                    PriorityClass::CRITICAL,
+                    PriorityClass::NORMAL,
+                    PriorityClass::BACKGROUND,
                 ][rng.random_range(0..3)],
                 deadline: now + timeout,
             };
--- a/crates/wasabiyardd/src/home/database_home.rs
+++ b/crates/wasabiyardd/src/home/database_home.rs
@@ -314,5 +314,5 @@
 fn route_class(manifest: &Manifest, database: &str, route: &str) -> PriorityClass {
     let database = manifest.databases.values().find(|d| d.name == database);
     let route = database.and_then(|d| manifest.route(d.service, route));
-    route.map_or(PriorityClass::Normal, |r| manifest.routes[r].class)
+    route.map_or(PriorityClass::NORMAL, |r| manifest.routes[r].class)
 }
