--- /dev/null
+++ b/crates/gateway/src/traffic/assignment.rs
@@ -0,0 +1,132 @@
+//! Assignment of the requests that wait for a connection to the servers of their service.
+
+use super::placement::{Candidate, choose_server};
+use super::requirement::ServerRequirement;
+use super::server_pool::IdleConnection;
+use super::service_pool::{ServicePool, Waiter};
+use crate::connection_state::ConnectionState;
+use rand::Rng;
+use std::sync::Arc;
+use wasabiyard_model::Time;
+use wasabiyard_schedule::QueuedRequest;
+
+/// Where the connection of a waiter comes from.
+#[derive(Debug)]
+pub(super) enum ConnectionSource<C> {
+    /// An idle connection of the pool.
+    Idle(IdleConnection<C>),
+    /// A new connection, which has to be opened.
+    Connect,
+}
+
+/// A waiter with the server that was chosen for it.
+#[derive(Debug)]
+pub(super) struct Assignment<C, R> {
+    pub(super) queued: QueuedRequest,
+    pub(super) waiter: Waiter<R>,
+    pub(super) server: Arc<str>,
+    pub(super) source: ConnectionSource<C>,
+}
+
+impl<C, R> ServicePool<C, R> {
+    /// Removes the next waiter for which a server is available from its queue. The primary's queue goes first.
+    pub(super) fn next_assignment<G>(
+        &mut self,
+        domain: &str,
+        now: Time,
+        rng: &mut G,
+    ) -> Option<Assignment<C, R>>
+    where
+        G: Rng,
+    {
+        self.next_primary_assignment(now)
+            .or_else(|| self.next_read_assignment(domain, now, rng))
+    }
+
+    fn next_primary_assignment(&mut self, now: Time) -> Option<Assignment<C, R>> {
+        let (id, _) = self.usable_primary()?;
+        let id = Arc::clone(id);
+        // The primary is not checked for draining or for a failure domain out of service: it gets writes until the
+        // primary record says that it is being replaced.
+        let pool = self.servers.get(&id)?;
+        if !pool.available(self.limits.max_open, now) {
+            return None;
+        }
+        let (queued, waiter) = self.primary_queue.pop(now)?;
+        Some(self.assign(queued, waiter, id))
+    }
+
+    fn next_read_assignment<G>(&mut self, domain: &str, now: Time, rng: &mut G) -> Option<Assignment<C, R>>
+    where
+        G: Rng,
+    {
+        if self.read_queue.is_empty() || !self.any_available(now) {
+            return None;
+        }
+        let (queued, waiter) = self.read_queue.pop(now)?;
+        let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
+        let candidates: Vec<_> = ids
+            .iter()
+            .map(|id| self.candidate(id, &waiter, domain, now))
+            .collect();
+        let chosen = choose_server(&candidates, rng).expect("an available server");
+        Some(self.assign(queued, waiter, Arc::clone(&ids[chosen])))
+    }
+
+    /// Servers for queued reads. The primary is left out while requests wait in its own queue.
+    fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
+        let primary_has_waiters = !self.primary_queue.is_empty();
+        self.accepting_servers
+            .iter()
+            .filter(move |id| !primary_has_waiters || !self.is_primary(id))
+    }
+
+    fn any_available(&self, now: Time) -> bool {
+        self.read_servers()
+            .any(|id| self.servers[id].available(self.limits.max_open, now))
+    }
+
+    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, domain: &str, now: Time) -> Candidate {
+        let pool = &self.servers[id];
+        let primary = self.is_primary(id);
+        let holds_point = match waiter.requirement {
+            ServerRequirement::Primary => primary,
+            ServerRequirement::AtLeast(point) => {
+                let reached = self.samples.first_reached_at(point);
+                primary || pool.lag.expects_point(pool.applied, point, reached, now)
+            }
+        };
+        Candidate {
+            primary,
+            local: *pool.server.domain == *domain,
+            latency: pool.latency.estimate(),
+            running: pool.in_use,
+            has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
+            available: pool.available(self.limits.max_open, now),
+            holds_point,
+        }
+    }
+
+    fn assign(&mut self, queued: QueuedRequest, waiter: Waiter<R>, server: Arc<str>) -> Assignment<C, R> {
+        let limit = self.limits.max_open;
+        let pool = self.servers.get_mut(&server).expect("a known server");
+        let values = &waiter.values;
+        let adjustment_cost = |connection_state: &ConnectionState| {
+            let adjustment = connection_state.adjustment(values);
+            adjustment.set.len() + usize::from(adjustment.reset)
+        };
+        let source = if let Some(idle) = pool.take_idle(&waiter.organisation, adjustment_cost) {
+            ConnectionSource::Idle(idle)
+        } else {
+            while pool.open_connections() >= limit && pool.evict() {}
+            ConnectionSource::Connect
+        };
+        pool.in_use += 1;
+        Assignment {
+            queued,
+            waiter,
+            server,
+            source,
+        }
+    }
+}
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod answer_order;
+mod assignment;
 mod backend_statement;
 mod connection_lease;
 mod connection_limits;
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -1,11 +1,12 @@
 //! The queues of requests that wait for a connection, and their assignment to servers.
 
+use super::assignment::{Assignment, ConnectionSource};
 use super::connection_lease::ConnectionLease;
 use super::connection_wait::connection_wait_deadline;
 use super::pool::{LeaseResult, Pool, PoolError};
 use super::primary_wait::{check_primary_wait, queue_error};
 use super::requirement::ServerRequirement;
-use super::service_pool::{Assignment, ConnectionSource, QueueKind, Waiter};
+use super::service_pool::{QueueKind, Waiter};
 use crate::connection_state::SessionValues;
 use crate::{Connector, clock};
 use async_io::Timer;
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,19 +1,17 @@
 //! The connections of one service, and the queues of requests that wait for them.
 
 use super::connection_limits::ConnectionLimits;
-use super::placement::{Candidate, choose_server};
 use super::requirement::ServerRequirement;
-use super::server_pool::{IdleConnection, ServerPool};
-use crate::connection_state::{ConnectionState, SessionValues};
+use super::server_pool::ServerPool;
+use crate::connection_state::SessionValues;
 use crate::{ClusterSnapshot, PrimaryView};
 use async_channel::Sender;
-use rand::Rng;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{LogPoint, Time};
-use wasabiyard_schedule::{AdmissionControl, FairQueue, QueuedRequest, RetryBudget};
+use wasabiyard_schedule::{AdmissionControl, FairQueue, RetryBudget};
 use wasabiyard_session::{PositionSample, PositionSamples};
 
 /// Minimum time between two samples of the primary's log point, unless the term has increased.
@@ -31,24 +29,6 @@
     pub(super) reply: Sender<R>,
 }
 
-/// Where the connection of a waiter comes from.
-#[derive(Debug)]
-pub(super) enum ConnectionSource<C> {
-    /// An idle connection of the pool.
-    Idle(IdleConnection<C>),
-    /// A new connection, which has to be opened.
-    Connect,
-}
-
-/// A waiter with the server that was chosen for it.
-#[derive(Debug)]
-pub(super) struct Assignment<C, R> {
-    pub(super) queued: QueuedRequest,
-    pub(super) waiter: Waiter<R>,
-    pub(super) server: Arc<str>,
-    pub(super) source: ConnectionSource<C>,
-}
-
 /// The two queues of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum QueueKind {
@@ -69,8 +49,8 @@
     pub(super) unusable_since: Option<Time>,
     pub(super) limits: ConnectionLimits,
     pub(super) samples: PositionSamples,
-    primary_queue: FairQueue<Waiter<R>>,
-    read_queue: FairQueue<Waiter<R>>,
+    pub(super) primary_queue: FairQueue<Waiter<R>>,
+    pub(super) read_queue: FairQueue<Waiter<R>>,
     pub(super) primary_admission: AdmissionControl,
     pub(super) read_admission: AdmissionControl,
     /// Limits retries of statements that a server refused.
@@ -78,7 +58,7 @@
     /// Servers that are no longer listed, with the time at which this was noticed.
     unlisted: BTreeMap<Arc<str>, Time>,
     /// Ids of the servers that may get new work.
-    accepting_servers: Vec<Arc<str>>,
+    pub(super) accepting_servers: Vec<Arc<str>>,
 }
 
 impl<C, R> ServicePool<C, R> {
@@ -260,107 +240,6 @@
         servers * self.limits.max_open as usize
     }
 
-    /// Removes the next waiter for which a server is available from its queue. The primary's queue goes first.
-    pub(super) fn next_assignment<G>(
-        &mut self,
-        domain: &str,
-        now: Time,
-        rng: &mut G,
-    ) -> Option<Assignment<C, R>>
-    where
-        G: Rng,
-    {
-        self.next_primary_assignment(now)
-            .or_else(|| self.next_read_assignment(domain, now, rng))
-    }
-
-    fn next_primary_assignment(&mut self, now: Time) -> Option<Assignment<C, R>> {
-        let (id, _) = self.usable_primary()?;
-        let id = Arc::clone(id);
-        // The primary is not checked for draining or for a failure domain out of service: it gets writes until the
-        // primary record says that it is being replaced.
-        let pool = self.servers.get(&id)?;
-        if !pool.available(self.limits.max_open, now) {
-            return None;
-        }
-        let (queued, waiter) = self.primary_queue.pop(now)?;
-        Some(self.assign(queued, waiter, id))
-    }
-
-    fn next_read_assignment<G>(&mut self, domain: &str, now: Time, rng: &mut G) -> Option<Assignment<C, R>>
-    where
-        G: Rng,
-    {
-        if self.read_queue.is_empty() || !self.any_available(now) {
-            return None;
-        }
-        let (queued, waiter) = self.read_queue.pop(now)?;
-        let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
-        let candidates: Vec<_> = ids
-            .iter()
-            .map(|id| self.candidate(id, &waiter, domain, now))
-            .collect();
-        let chosen = choose_server(&candidates, rng).expect("an available server");
-        Some(self.assign(queued, waiter, Arc::clone(&ids[chosen])))
-    }
-
-    /// Servers for queued reads. The primary is left out while requests wait in its own queue.
-    fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
-        let primary_has_waiters = !self.primary_queue.is_empty();
-        self.accepting_servers
-            .iter()
-            .filter(move |id| !primary_has_waiters || !self.is_primary(id))
-    }
-
-    fn any_available(&self, now: Time) -> bool {
-        self.read_servers()
-            .any(|id| self.servers[id].available(self.limits.max_open, now))
-    }
-
-    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, domain: &str, now: Time) -> Candidate {
-        let pool = &self.servers[id];
-        let primary = self.is_primary(id);
-        let holds_point = match waiter.requirement {
-            ServerRequirement::Primary => primary,
-            ServerRequirement::AtLeast(point) => {
-                let reached = self.samples.first_reached_at(point);
-                primary || pool.lag.expects_point(pool.applied, point, reached, now)
-            }
-        };
-        Candidate {
-            primary,
-            local: *pool.server.domain == *domain,
-            latency: pool.latency.estimate(),
-            running: pool.in_use,
-            has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
-            available: pool.available(self.limits.max_open, now),
-            holds_point,
-        }
-    }
-
-    fn assign(&mut self, queued: QueuedRequest, waiter: Waiter<R>, server: Arc<str>) -> Assignment<C, R> {
-        let limit = self.limits.max_open;
-        let pool = self.servers.get_mut(&server).expect("a known server");
-        let values = &waiter.values;
-        let adjustment_cost = |connection_state: &ConnectionState| {
-            let adjustment = connection_state.adjustment(values);
-            adjustment.set.len() + usize::from(adjustment.reset)
-        };
-        let source = if let Some(idle) = pool.take_idle(&waiter.organisation, adjustment_cost) {
-            ConnectionSource::Idle(idle)
-        } else {
-            while pool.open_connections() >= limit && pool.evict() {}
-            ConnectionSource::Connect
-        };
-        pool.in_use += 1;
-        Assignment {
-            queued,
-            waiter,
-            server,
-            source,
-        }
-    }
-
     /// Records the log point that the primary had when it answered a statement sent at `requested_at`.
     pub(super) fn on_primary_point(&mut self, requested_at: Time, point: LogPoint) {
         let due = self.samples.newest().is_none_or(|n| {
