Let less urgent classes yield first at servers that refuse work

After a refusal all classes paused alike, and the most urgent route was served worst: its target is shorter than the wait in the full queue of a server. The less urgent classes also yield when statements wait at the server for a quarter of the most urgent target.

Metrics by class: wasabiyard_class_placements, wasabiyard_class_refusals, wasabiyard_server_refusals.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -84,3 +84,14 @@
     /// Longest idle time inside a transaction; `None` leaves it to the instance's own setting.
     pub transaction_idle: Option<Duration>,
 }
+
+impl Configuration {
+    /// Target latency of the most urgent route of a service, `None` when none has one.
+    pub fn urgent_target(&self, service: &str) -> Option<Duration> {
+        let routes = self.routes.values().filter(|r| *r.service == *service);
+        let with_target = routes.filter(|r| r.target_latency > Duration::ZERO);
+        with_target
+            .min_by_key(|r| (r.class, r.target_latency))
+            .map(|r| r.target_latency)
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use thiserror::Error;
+use wasabiyard_model::PriorityClass;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0];
@@ -93,6 +94,9 @@
     latency: Histogram<f64>,
     connection_waits: Histogram<f64>,
     placements: Counter<u64>,
+    class_placements: Counter<u64>,
+    class_refusals: Counter<u64>,
+    server_refusals: Counter<u64>,
     connects: Counter<u64>,
     retries: Counter<u64>,
     logins_refused: Counter<u64>,
@@ -166,6 +170,18 @@
                 "wasabiyard_placements",
                 "Statements sent to backend servers, by service and role of the server",
             ),
+            class_placements: counter(
+                "wasabiyard_class_placements",
+                "Statements and transactions that got a backend connection, by service, class and role of the server",
+            ),
+            class_refusals: counter(
+                "wasabiyard_class_refusals",
+                "Statements and transactions that got no backend connection, by service, class and cause",
+            ),
+            server_refusals: counter(
+                "wasabiyard_server_refusals",
+                "Statements that a backend server refused as overloaded, by service and class",
+            ),
             connects: counter(
                 "wasabiyard_connects",
                 "Attempts to open a backend connection, by service and result",
@@ -207,14 +223,29 @@
     }
 
     /// Records that a statement got a backend connection after `waited`.
-    pub fn on_placed(&self, service: &str, primary: bool, waited: Duration) {
+    pub fn on_placed(&self, service: &str, class: PriorityClass, primary: bool, waited: Duration) {
         let service = KeyValue::new("service", service.to_owned());
         let role = KeyValue::new("role", if primary { "primary" } else { "replica" });
         self.connection_waits
             .record(waited.as_secs_f64(), std::slice::from_ref(&service));
+        self.class_placements
+            .add(1, &[service.clone(), class_label(class), role.clone()]);
         self.placements.add(1, &[service, role]);
     }
 
+    /// Records that a statement or transaction got no backend connection.
+    pub fn on_not_placed(&self, service: &str, class: PriorityClass, cause: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        let cause = KeyValue::new("cause", cause);
+        self.class_refusals.add(1, &[service, class_label(class), cause]);
+    }
+
+    /// Records that a backend server refused a statement as overloaded.
+    pub fn on_server_refusal(&self, service: &str, class: PriorityClass) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.server_refusals.add(1, &[service, class_label(class)]);
+    }
+
     /// Records the result of an attempt to connect to a backend server.
     pub fn on_connect(&self, service: &str, result: ConnectResult) {
         let service = KeyValue::new("service", service.to_owned());
@@ -280,3 +311,8 @@
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
     }
 }
+
+/// Label with the rank of a class, 0 for the most urgent.
+fn class_label(class: PriorityClass) -> KeyValue {
+    KeyValue::new("class", class.rank() as i64)
+}
--- a/crates/gateway/src/traffic/assignment.rs
+++ b/crates/gateway/src/traffic/assignment.rs
@@ -4,10 +4,11 @@
 use super::requirement::ServerRequirement;
 use super::server_pool::IdleConnection;
 use super::service_pool::{ServicePool, Waiter};
+use crate::OverloadOrder;
 use crate::connection_state::ConnectionState;
 use rand::Rng;
 use std::sync::Arc;
-use wasabiyard_model::Time;
+use wasabiyard_model::{PriorityClass, Time};
 use wasabiyard_schedule::QueuedRequest;
 
 /// Where the connection of a waiter comes from.
@@ -52,7 +53,14 @@
         if !pool.available(self.limits.max_open, now) {
             return None;
         }
-        let (queued, waiter) = self.primary_queue.pop(now)?;
+        let (queued, waiter) = match self.overload_order {
+            OverloadOrder::Shared => self.primary_queue.pop(now)?,
+            OverloadOrder::ByRank => {
+                let limit = self.limits.max_open;
+                self.primary_queue
+                    .pop_urgent(now, |class| pool.available_to(class, limit, now))?
+            }
+        };
         Some(self.assign(queued, waiter, id))
     }
 
@@ -63,11 +71,20 @@
         if self.read_queue.is_empty() || !self.any_available(now) {
             return None;
         }
-        let (queued, waiter) = self.read_queue.pop(now)?;
+        let (queued, waiter) = match self.overload_order {
+            OverloadOrder::Shared => self.read_queue.pop(now)?,
+            OverloadOrder::ByRank => {
+                let classes: Vec<_> = PriorityClass::all()
+                    .filter(|class| self.any_available_to(*class, now))
+                    .collect();
+                self.read_queue
+                    .pop_urgent(now, |class| classes.contains(&class))?
+            }
+        };
         let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
         let candidates: Vec<_> = ids
             .iter()
-            .map(|id| self.candidate(id, &waiter, domain, now))
+            .map(|id| self.candidate(id, queued.class, &waiter, domain, now))
             .collect();
         let chosen = choose_server(&candidates, rng).expect("an available server");
         Some(self.assign(queued, waiter, Arc::clone(&ids[chosen])))
@@ -86,7 +103,19 @@
             .any(|id| self.servers[id].available(self.limits.max_open, now))
     }
 
-    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, domain: &str, now: Time) -> Candidate {
+    fn any_available_to(&self, class: PriorityClass, now: Time) -> bool {
+        self.read_servers()
+            .any(|id| self.servers[id].available_to(class, self.limits.max_open, now))
+    }
+
+    fn candidate(
+        &self,
+        id: &Arc<str>,
+        class: PriorityClass,
+        waiter: &Waiter<R>,
+        domain: &str,
+        now: Time,
+    ) -> Candidate {
         let pool = &self.servers[id];
         let primary = self.is_primary(id);
         let holds_point = match waiter.requirement {
@@ -102,7 +131,7 @@
             latency: pool.latency.estimate(),
             running: pool.in_use,
             has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
-            available: pool.available(self.limits.max_open, now),
+            available: pool.available_to(class, self.limits.max_open, now),
             holds_point,
         }
     }
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{PriorityClass, Time};
 
 /// Timeout of commands that occupy no execution slot at the backend server: session values, prepared names, rollback.
 const SESSION_COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
@@ -40,6 +40,8 @@
     pub(super) service: Arc<str>,
     pub(super) server: Arc<str>,
     pub(super) organisation: Arc<str>,
+    /// Class of the statement or transaction.
+    pub(super) class: PriorityClass,
     /// Epoch of the primary record when the server was leased as the primary, `None` when it was leased as a replica.
     pub(super) epoch: Option<u64>,
     /// Closed when the lease is revoked; carries no messages.
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -6,7 +6,7 @@
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
 use crate::metrics::Metrics;
-use crate::{Answer, CallerError, ClusterSnapshot, Connector};
+use crate::{Answer, CallerError, ClusterSnapshot, Connector, OverloadOrder};
 use async_executor::LocalExecutor;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_schedule::QueuedRequest;
 
 /// Settings of the pool.
 #[derive(Debug, Clone)]
@@ -46,6 +47,18 @@
     NoServer,
 }
 
+impl PoolError {
+    /// Value of the label `cause` in metrics.
+    pub(super) const fn cause(self) -> &'static str {
+        match self {
+            Self::Overloaded { .. } => "overloaded",
+            Self::Deadline => "deadline",
+            Self::NoPrimary { .. } => "no_primary",
+            Self::NoServer => "no_server",
+        }
+    }
+}
+
 pub(super) type LeaseResult<C> = Result<ConnectionLease<C>, PoolError>;
 type Services<C> = HashMap<Arc<str>, ServicePool<<C as Connector>::Connection, LeaseResult<C>>>;
 
@@ -168,7 +181,7 @@
         self: &Rc<Self>,
         service: &Arc<str>,
         server: &Arc<str>,
-        organisation: &Arc<str>,
+        queued: &QueuedRequest,
         conn: OrderedConnection<C::Connection>,
         connection_state: ConnectionState,
         now: Time,
@@ -183,7 +196,8 @@
             pool: Rc::clone(self),
             service: Arc::clone(service),
             server: Arc::clone(server),
-            organisation: Arc::clone(organisation),
+            organisation: Arc::clone(&queued.organisation),
+            class: queued.class,
             epoch,
             revoked: pool.servers.get(server)?.revocation(),
             conn: Some(conn),
@@ -253,10 +267,21 @@
         {
             pool.on_primary_point(sent_at, point);
         }
+        let urgent_tolerance = pool.urgent_tolerance;
         if let Some(server) = pool.servers.get_mut(&lease.server) {
             server.on_point(point);
             if answer.failure() != Some(CallerError::Busy) {
                 server.on_answer(now.saturating_since(sent_at), is_statement, now);
+                if is_statement && pool.overload_order == OverloadOrder::ByRank {
+                    let took = now.saturating_since(sent_at);
+                    server.yielding.on_answer(
+                        lease.class,
+                        took,
+                        urgent_tolerance,
+                        now,
+                        &mut *self.rng.borrow_mut(),
+                    );
+                }
             }
         }
     }
@@ -289,11 +314,30 @@
     /// Records that the lease's server refused a statement as overloaded. Other servers are preferred until answers
     /// lower its latency again.
     pub(super) fn on_overloaded(&self, lease: &ConnectionLease<C>, now: Time) {
+        self.metrics.on_server_refusal(&lease.service, lease.class);
+        let mut services = self.services.borrow_mut();
+        let Some(pool) = services.get_mut(&lease.service) else {
+            return;
+        };
+        let Some(server) = pool.servers.get_mut(&lease.server) else {
+            return;
+        };
         let mut rng = self.rng.borrow_mut();
-        self.with_server(&lease.service, &lease.server, |s| {
-            s.latency.on_overloaded();
-            s.health.on_overloaded(s.in_use, now, &mut *rng);
-        });
+        server.latency.on_overloaded();
+        match pool.overload_order {
+            OverloadOrder::Shared => server.health.on_overloaded(server.in_use, now, &mut *rng),
+            OverloadOrder::ByRank => {
+                if !server.yielding.is_strained(now) {
+                    log::info!(
+                        service:% = lease.service, server:% = lease.server, class = lease.class.rank();
+                        "a backend server refuses work; less urgent classes yield"
+                    );
+                }
+                server
+                    .yielding
+                    .on_overloaded(lease.class, server.in_use, now, &mut *rng);
+            }
+        }
     }
 
     /// Counts the first attempt of a statement, which earns a part of a retry.
--- a/crates/gateway/src/traffic/pool_connect.rs
+++ b/crates/gateway/src/traffic/pool_connect.rs
@@ -54,7 +54,7 @@
                 let lease = self.new_lease(
                     &service,
                     &server,
-                    &waiter.organisation,
+                    &queued,
                     OrderedConnection::new(conn),
                     connection_state,
                     now,
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -40,7 +40,21 @@
     ///
     /// See [`PoolError`]; nothing was sent to a backend server for this request.
     pub(super) async fn acquire(self: &Rc<Self>, lease_request: &LeaseRequest<'_>) -> LeaseResult<C> {
-        let now = clock::now();
+        let (service, class) = (lease_request.service, lease_request.class);
+        let requested_at = clock::now();
+        let result = self.wait_for_lease(lease_request, requested_at).await;
+        match &result {
+            Ok(lease) => {
+                let waited = clock::now().saturating_since(requested_at);
+                self.metrics
+                    .on_placed(service, class, lease.epoch.is_some(), waited);
+            }
+            Err(e) => self.metrics.on_not_placed(service, class, e.cause()),
+        }
+        result
+    }
+
+    async fn wait_for_lease(self: &Rc<Self>, lease_request: &LeaseRequest<'_>, now: Time) -> LeaseResult<C> {
         let (tx, rx) = async_channel::bounded(1);
         let waiter = Waiter {
             organisation: Arc::clone(lease_request.organisation),
@@ -58,11 +72,7 @@
             Err(PoolError::Deadline)
         };
         let served = async { rx.recv().await.unwrap_or(Err(PoolError::Deadline)) };
-        let lease = served.or(expired).await?;
-        let waited = clock::now().saturating_since(now);
-        self.metrics
-            .on_placed(lease_request.service, lease.epoch.is_some(), waited);
-        Ok(lease)
+        served.or(expired).await
     }
 
     /// Queues a request, unless the estimated wait shows that it would not be answered in time.
@@ -80,7 +90,7 @@
         let queue_kind = pool.queue_kind(lease_request.requirement, now);
         if queue_kind == QueueKind::Primary {
             check_primary_wait(pool, wait_deadline, now)?;
-            let pause_until = pool.primary_pause_until();
+            let pause_until = pool.primary_pause_until(lease_request.class);
             if pause_until >= wait_deadline {
                 return Err(PoolError::Overloaded {
                     retry_after: pause_until.saturating_since(now),
@@ -159,14 +169,7 @@
         } = assignment;
         match source {
             ConnectionSource::Idle(idle) => {
-                let lease = self.new_lease(
-                    service,
-                    &server,
-                    &waiter.organisation,
-                    idle.conn,
-                    idle.connection_state,
-                    now,
-                );
+                let lease = self.new_lease(service, &server, &queued, idle.conn, idle.connection_state, now);
                 deliver_lease(&waiter, lease);
             }
             ConnectionSource::Connect => {
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -1,6 +1,7 @@
 //! The connections of this instance to one backend server, and the measured state of that server.
 
 use super::ordered_connection::OrderedConnection;
+use super::overload_yield::OverloadYield;
 use super::placement::ReplicaLag;
 use super::server_health::ServerHealth;
 use super::server_latency::ServerLatency;
@@ -9,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{LogPoint, PriorityClass, Time};
 
 /// An idle connection, which only its organisation may reuse.
 #[derive(Debug)]
@@ -33,6 +34,8 @@
     pub(super) applied: Option<LogPoint>,
     pub(super) lag: ReplicaLag,
     pub(super) health: ServerHealth,
+    /// Not used where an overload delays all classes alike.
+    pub(super) yielding: OverloadYield,
     /// Closing the channel revokes the leases, which hold clones of the receiver.
     revocation: (Sender<()>, Receiver<()>),
 }
@@ -47,6 +50,7 @@
             applied: None,
             lag: ReplicaLag::default(),
             health: ServerHealth::default(),
+            yielding: OverloadYield::default(),
             revocation: async_channel::bounded(1),
         }
     }
@@ -58,6 +62,17 @@
             && (!self.idle.is_empty() || self.health.allows_connect(now))
     }
 
+    /// Whether a connection can be leased to a statement of `class` without waiting.
+    pub(super) fn available_to(&self, class: PriorityClass, limit: u32, now: Time) -> bool {
+        self.available(limit, now) && self.yielding.allows(class, self.in_use, now)
+    }
+
+    /// When the pause of a class after refusals as overloaded ends.
+    pub(super) fn overload_pause_until(&self, class: PriorityClass) -> Time {
+        let health = self.health.overload_pause_until();
+        health.max(self.yielding.pause_until(class))
+    }
+
     /// Takes the idle connection of an organisation that needs the fewest commands before the session can use it, by
     /// `adjustment_cost`.
     pub(super) fn take_idle<F>(&mut self, organisation: &str, adjustment_cost: F) -> Option<IdleConnection<C>>
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -4,13 +4,13 @@
 use super::requirement::ServerRequirement;
 use super::server_pool::ServerPool;
 use crate::connection_state::SessionValues;
-use crate::{ClusterSnapshot, PrimaryView};
+use crate::{ClusterSnapshot, OverloadOrder, PrimaryView};
 use async_channel::Sender;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{LogPoint, PriorityClass, Time};
 use wasabiyard_schedule::{AdmissionControl, FairQueue, RetryBudget};
 use wasabiyard_session::{PositionSample, PositionSamples};
 
@@ -20,6 +20,12 @@
 /// store is unavailable.
 const UNLISTED_SERVER_GRACE: Duration = Duration::from_secs(3);
 
+/// Target latency of the most urgent route of a service whose routes have none.
+const DEFAULT_URGENT_TARGET: Duration = Duration::from_millis(200);
+/// Part of the most urgent target that a statement may wait at a server; the rest is for its execution, the way to the
+/// caller and the wait for a connection.
+const TOLERATED_PART: f64 = 0.25;
+
 /// A queued request for a connection, with the channel that takes the result.
 #[derive(Debug)]
 pub(super) struct Waiter<R> {
@@ -48,6 +54,9 @@
     /// Since when this instance has used no primary, `None` while it may use one.
     pub(super) unusable_since: Option<Time>,
     pub(super) limits: ConnectionLimits,
+    pub(super) overload_order: OverloadOrder,
+    /// How long a server may let the most urgent statements of the service wait.
+    pub(super) urgent_tolerance: Duration,
     pub(super) samples: PositionSamples,
     pub(super) primary_queue: FairQueue<Waiter<R>>,
     pub(super) read_queue: FairQueue<Waiter<R>>,
@@ -69,6 +78,8 @@
             failover_since: None,
             unusable_since: None,
             limits: ConnectionLimits::per_instance(0, 1),
+            overload_order: OverloadOrder::default(),
+            urgent_tolerance: DEFAULT_URGENT_TARGET.mul_f64(TOLERATED_PART),
             samples: PositionSamples::default(),
             primary_queue: FairQueue::default(),
             read_queue: FairQueue::default(),
@@ -105,10 +116,13 @@
             }
         }
         self.remove_unlisted(snapshot, now);
-        let rule = snapshot
-            .configuration
-            .as_ref()
-            .and_then(|c| c.services.get(service));
+        let configuration = snapshot.configuration.as_ref();
+        self.overload_order = configuration.map_or_else(OverloadOrder::default, |c| c.overload_order);
+        let urgent_target = configuration.and_then(|c| c.urgent_target(service));
+        self.urgent_tolerance = urgent_target
+            .unwrap_or(DEFAULT_URGENT_TARGET)
+            .mul_f64(TOLERATED_PART);
+        let rule = configuration.and_then(|c| c.services.get(service));
         let server_limit = rule.map_or(0, |rule| rule.max_connections);
         self.limits = ConnectionLimits::per_instance(server_limit, snapshot.fleet_size());
         self.accepting_servers = self
@@ -190,11 +204,11 @@
             .is_some_and(|p| !p.is_unreachable(now))
     }
 
-    /// When the usable primary gets its next request after it refused one as overloaded; the start of time when it did
-    /// not, or when there is no usable primary.
-    pub(super) fn primary_pause_until(&self) -> Time {
+    /// When the usable primary gets its next request of a class after it refused one as overloaded; the start of time when
+    /// it did not, or when there is no usable primary.
+    pub(super) fn primary_pause_until(&self, class: PriorityClass) -> Time {
         let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
-        primary.map_or(Time::ZERO, |p| p.health.overload_pause_until())
+        primary.map_or(Time::ZERO, |p| p.overload_pause_until(class))
     }
 
     /// The queue for a request: that of the primary, unless a replica is expected to have reached the required log
--- a/crates/schedule/src/fair_queue.rs
+++ b/crates/schedule/src/fair_queue.rs
@@ -16,6 +16,8 @@
 const CLASS_WEIGHT_RATIO: u64 = 4;
 /// Advance in virtual time for one request of the most urgent class.
 const MOST_URGENT_VIRTUAL_COST: u64 = 62_500;
+/// Requests that a class may have beyond its share before a less urgent one gets its turn.
+const HEAD_START_REQUESTS: u64 = 16;
 
 /// Maximum lengths of a queue, in requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,10 +140,52 @@
         self.drop_expired(now);
         let nonempty = (0..PriorityClass::COUNT).filter(|c| self.classes[*c].len() > 0);
         let class = nonempty.min_by_key(|c| self.class_start_tags[*c])?;
+        Some(self.pop_from(class))
+    }
+
+    /// As [`Self::pop`], but only from classes that `may_start` accepts, and with a head start for more urgent classes: a
+    /// class goes before a less urgent one until it has had [`HEAD_START_REQUESTS`] more than its share. For a server that
+    /// gets one request at a time, where the shares alone would send a less urgent one while a more urgent one waits.
+    pub fn pop_urgent<F>(&mut self, now: Time, may_start: F) -> Option<(QueuedRequest, P)>
+    where
+        F: Fn(PriorityClass) -> bool,
+    {
+        self.drop_expired(now);
+        let nonempty = PriorityClass::all().filter(|c| self.classes[c.rank()].len() > 0);
+        let head_start = HEAD_START_REQUESTS * MOST_URGENT_VIRTUAL_COST;
+        let class = nonempty
+            .filter(|c| may_start(*c))
+            .min_by_key(|c| self.class_start_tags[c.rank()] + head_start * c.rank() as u64)?;
+        Some(self.pop_from(class.rank()))
+    }
+
+    /// Drops the requests that cannot start before their deadline because their class may not start before
+    /// `earliest_start`. They are returned, rather than by [`Self::take_dropped`].
+    pub fn take_unservable<F>(&mut self, earliest_start: F) -> Vec<(QueuedRequest, P)>
+    where
+        F: Fn(PriorityClass) -> Time,
+    {
+        let unservable = self.requests.iter();
+        let unservable = unservable.filter(|(_, (r, _))| earliest_start(r.class) >= r.deadline);
+        let mut tickets: Vec<_> = unservable.map(|(ticket, _)| *ticket).collect();
+        tickets.sort_unstable();
+        tickets
+            .into_iter()
+            .map(|ticket| {
+                let (request, _) = &self.requests[&ticket];
+                let (rank, organisation) = (request.class.rank(), Arc::clone(&request.organisation));
+                self.classes[rank].remove(&organisation, ticket);
+                self.remove_entry(ticket)
+            })
+            .collect()
+    }
+
+    fn pop_from(&mut self, class: usize) -> (QueuedRequest, P) {
         let ticket = self.classes[class].pop().expect("a class that is not empty");
-        self.virtual_time = self.class_start_tags[class];
+        // A class with a head start may be ahead of one that is served after it.
+        self.virtual_time = self.virtual_time.max(self.class_start_tags[class]);
         self.class_start_tags[class] += class_virtual_cost(class);
-        Some(self.remove_entry(ticket))
+        self.remove_entry(ticket)
     }
 
     /// Removes a request whose caller disconnected; `None` when it is no longer queued.
--- a/crates/schedule/tests/fair_queue.rs
+++ b/crates/schedule/tests/fair_queue.rs
@@ -227,3 +227,37 @@
     }
     assert_eq!(served, [640, 160, 40, 10]);
 }
+
+/// At a server that gets one request at a time, the most urgent one must be it, but the others must not wait for ever.
+#[test]
+fn urgent_requests_go_first_without_starving_others() {
+    let mut queue = FairQueue::default();
+    let mut id = 0;
+    let mut push = |queue: &mut FairQueue<u32>, class| {
+        id += 1;
+        let entry = request("zoo", 1, class, distant_deadline());
+        queue.push(entry, id, Time::ZERO).expect("a short queue");
+    };
+    for _ in 0..100 {
+        push(&mut queue, PriorityClass::NORMAL);
+    }
+    let mut urgent_in_a_row: usize = 0;
+    let mut longest: usize = 0;
+    for _ in 0..200 {
+        push(&mut queue, PriorityClass::CRITICAL);
+        let (served, _) = queue.pop_urgent(Time::ZERO, |_| true).expect("a request");
+        if served.class == PriorityClass::CRITICAL {
+            urgent_in_a_row += 1;
+        } else {
+            assert!(
+                longest > 0 || urgent_in_a_row >= 16,
+                "a head start of {urgent_in_a_row}"
+            );
+            urgent_in_a_row = 0;
+        }
+        longest = longest.max(urgent_in_a_row);
+    }
+    assert!((16..=21).contains(&longest), "{longest}");
+    let normal = queue.pop_urgent(Time::ZERO, |class| class != PriorityClass::CRITICAL);
+    assert_eq!(normal.expect("a request").0.class, PriorityClass::NORMAL);
+}
