Keep room at the primary for what only the primary can run

Reads that a replica could serve went to the primary as soon as the replicas were busy, and less urgent statements could take all connections that an instance may have there.

Ruled out: never using the primary for such reads, which leaves it idle while both replicas refuse work.

--- a/crates/gateway/src/traffic/assignment.rs
+++ b/crates/gateway/src/traffic/assignment.rs
@@ -1,6 +1,7 @@
 //! Assignment of the requests that wait for a connection to the servers of their service.
 
 use super::placement::{Candidate, choose_server};
+use super::primary_room::{primary_connection_limit, replica_wait_end};
 use super::requirement::ServerRequirement;
 use super::server_pool::IdleConnection;
 use super::service_pool::{ServicePool, Waiter};
@@ -55,11 +56,10 @@
         }
         let (queued, waiter) = match self.overload_order {
             OverloadOrder::Shared => self.primary_queue.pop(now)?,
-            OverloadOrder::ByRank => {
-                let limit = self.limits.max_open;
-                self.primary_queue
-                    .pop_urgent(now, |class| pool.available_to(class, limit, now))?
-            }
+            OverloadOrder::ByRank => self.primary_queue.pop_urgent(now, |class| {
+                let limit = primary_connection_limit(class, self.limits.max_open);
+                pool.available_to(class, limit, now)
+            })?,
         };
         Some(self.assign(queued, waiter, id))
     }
@@ -68,11 +68,12 @@
     where
         G: Rng,
     {
-        if self.read_queue.is_empty() || !self.any_available(now) {
+        if self.read_queue.is_empty() {
             return None;
         }
         let (queued, waiter) = match self.overload_order {
-            OverloadOrder::Shared => self.read_queue.pop(now)?,
+            OverloadOrder::Shared if self.any_available(now) => self.read_queue.pop(now)?,
+            OverloadOrder::Shared => return None,
             OverloadOrder::ByRank => {
                 let classes: Vec<_> = PriorityClass::all()
                     .filter(|class| self.any_available_to(*class, now))
@@ -81,7 +82,7 @@
                     .pop_urgent(now, |class| classes.contains(&class))?
             }
         };
-        let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
+        let ids: Vec<_> = self.read_servers(queued.class, now).map(Arc::clone).collect();
         let candidates: Vec<_> = ids
             .iter()
             .map(|id| self.candidate(id, queued.class, &waiter, domain, now))
@@ -90,21 +91,35 @@
         Some(self.assign(queued, waiter, Arc::clone(&ids[chosen])))
     }
 
-    /// Servers for queued reads. The primary is left out while requests wait in its own queue.
-    fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
-        let primary_has_waiters = !self.primary_queue.is_empty();
+    /// Servers for queued reads of a class. The primary is left out while requests wait in its own queue.
+    fn read_servers(&self, class: PriorityClass, now: Time) -> impl Iterator<Item = &Arc<str>> {
+        let may_use_primary = self.primary_queue.is_empty()
+            && match self.overload_order {
+                OverloadOrder::Shared => true,
+                OverloadOrder::ByRank => self.replicas_are_closed_to(class, now),
+            };
         self.accepting_servers
             .iter()
-            .filter(move |id| !primary_has_waiters || !self.is_primary(id))
+            .filter(move |id| may_use_primary || !self.is_primary(id))
+    }
+
+    /// Whether a read of a class may go to the primary although a replica has its log point: none of them takes it soon,
+    /// and the primary has nothing else to do for this instance.
+    fn replicas_are_closed_to(&self, class: PriorityClass, now: Time) -> bool {
+        let at = replica_wait_end(now);
+        let mut replicas = self.accepting_servers.iter().filter(|id| !self.is_primary(id));
+        let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
+        primary.is_some_and(|p| p.in_use == 0 && !p.yielding.is_strained(now))
+            && replicas.all(|id| self.servers[id].is_closed_to(class, at))
     }
 
     fn any_available(&self, now: Time) -> bool {
-        self.read_servers()
+        self.read_servers(PriorityClass::CRITICAL, now)
             .any(|id| self.servers[id].available(self.limits.max_open, now))
     }
 
     fn any_available_to(&self, class: PriorityClass, now: Time) -> bool {
-        self.read_servers()
+        self.read_servers(class, now)
             .any(|id| self.servers[id].available_to(class, self.limits.max_open, now))
     }
 
--- a/crates/gateway/src/traffic/placement.rs
+++ b/crates/gateway/src/traffic/placement.rs
@@ -103,6 +103,11 @@
             || reached.is_some_and(|reached| now.saturating_since(reached) > self.estimate_at(now))
     }
 
+    /// When the replica is expected to have reached a log point that the primary reached at `reached`.
+    pub fn expected_at(&self, reached: Time, now: Time) -> Time {
+        reached + self.estimate_at(now)
+    }
+
     /// Raises the estimate: the replica refused a log point that the primary had reached `age` ago.
     pub fn on_refused(&mut self, age: Duration, now: Time) {
         self.estimate = (self.estimate_at(now).max(age) * 5 / 4).min(MAX_LAG);
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -54,7 +54,15 @@
         result
     }
 
-    async fn wait_for_lease(self: &Rc<Self>, lease_request: &LeaseRequest<'_>, now: Time) -> LeaseResult<C> {
+    async fn wait_for_lease(
+        self: &Rc<Self>,
+        lease_request: &LeaseRequest<'_>,
+        requested_at: Time,
+    ) -> LeaseResult<C> {
+        let wait_deadline = connection_wait_deadline(lease_request.deadline, requested_at);
+        self.wait_for_replicas(lease_request, wait_deadline, requested_at)
+            .await;
+        let now = clock::now();
         let (tx, rx) = async_channel::bounded(1);
         let waiter = Waiter {
             organisation: Arc::clone(lease_request.organisation),
@@ -62,7 +70,6 @@
             values: Rc::clone(lease_request.values),
             reply: tx,
         };
-        let wait_deadline = connection_wait_deadline(lease_request.deadline, now);
         self.enqueue(lease_request, waiter, wait_deadline, now)?;
         self.dispatch(lease_request.service, now);
         // The queue rejects an expired waiter only when it is dispatched next, so the wait has a timer of its own.
@@ -75,6 +82,19 @@
         served.or(expired).await
     }
 
+    /// Waits until a replica has the log point of a read that would otherwise go to a primary under strain.
+    async fn wait_for_replicas(&self, lease_request: &LeaseRequest<'_>, wait_deadline: Time, now: Time) {
+        let catch_up = {
+            let services = self.services.borrow();
+            let pool = services.get(lease_request.service);
+            pool.filter(|p| p.queue_kind(lease_request.requirement, now) == QueueKind::Primary)
+                .and_then(|p| p.replica_catch_up(lease_request.requirement, wait_deadline, now))
+        };
+        if let Some(at) = catch_up {
+            Timer::after(at.saturating_since(now)).await;
+        }
+    }
+
     /// Queues a request, unless the estimated wait shows that it would not be answered in time.
     pub(super) fn enqueue(
         &self,
--- a/crates/gateway/src/traffic/primary_release.rs
+++ b/crates/gateway/src/traffic/primary_release.rs
@@ -114,10 +114,12 @@
         }
     }
 
-    /// Whether the service has a primary that may be used and is not unreachable.
-    pub(super) fn primary_is_usable(&self, service: &str, now: Time) -> bool {
+    /// Whether a read that a replica refused because its log is behind goes to the primary next: there is one that may be
+    /// used and is not unreachable, and the read does not wait for the replicas because the primary is under strain.
+    pub(super) fn lagging_read_needs_primary(&self, service: &str, now: Time) -> bool {
         let services = self.services.borrow();
-        services.get(service).is_some_and(|p| p.primary_is_reachable(now))
+        let pool = services.get(service);
+        pool.is_some_and(|p| p.primary_is_reachable(now) && !p.is_primary_strained(now))
     }
 }
 
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -108,7 +108,7 @@
                         if let Some(point) = at_least {
                             self.cx.pool.on_replica_point(&lease, point, false, now);
                         }
-                        primary_only = self.cx.pool.primary_is_usable(&route.service, now);
+                        primary_only = self.cx.pool.lagging_read_needs_primary(&route.service, now);
                     }
                     Some(CallerError::UnknownPrepared) => lease.connection_state.prepared.clear(),
                     Some(CallerError::Failed) if !stmt.writes && read_failures < MAX_FAILED_READ_RETRIES => {
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -178,7 +178,7 @@
                         let now = clock::now();
                         if let (CallerError::Lagging, Some(point)) = (error, at_least) {
                             self.cx.pool.on_replica_point(&lease, point, false, now);
-                            primary_only = self.cx.pool.primary_is_usable(&route.service, now);
+                            primary_only = self.cx.pool.lagging_read_needs_primary(&route.service, now);
                         }
                         if error == CallerError::Busy {
                             self.cx.pool.on_overloaded(&lease, now);
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -67,6 +67,13 @@
         self.available(limit, now) && self.yielding.allows(class, self.in_use, now)
     }
 
+    /// Whether the server takes no statement of `class` before `at`, as far as is known.
+    pub(super) fn is_closed_to(&self, class: PriorityClass, at: Time) -> bool {
+        self.is_unreachable(at)
+            || at < self.overload_pause_until(class)
+            || (self.idle.is_empty() && !self.health.allows_connect(at))
+    }
+
     /// When the pause of a class after refusals as overloaded ends.
     pub(super) fn overload_pause_until(&self, class: PriorityClass) -> Time {
         let health = self.health.overload_pause_until();
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,6 +1,7 @@
 //! The connections of one service, and the queues of requests that wait for them.
 
 use super::connection_limits::ConnectionLimits;
+use super::primary_room::wait_for_replica;
 use super::requirement::ServerRequirement;
 use super::server_pool::ServerPool;
 use crate::connection_state::SessionValues;
@@ -218,12 +219,9 @@
             return QueueKind::Primary;
         };
         let reached = self.samples.first_reached_at(point);
-        let replica = self.accepting_servers.iter().any(|id| {
-            let pool = &self.servers[id];
-            !self.is_primary(id)
-                && !pool.is_unreachable(now)
-                && pool.lag.expects_point(pool.applied, point, reached, now)
-        });
+        let replica = self
+            .reachable_replicas(now)
+            .any(|pool| pool.lag.expects_point(pool.applied, point, reached, now));
         if replica {
             QueueKind::Reads
         } else {
@@ -231,6 +229,41 @@
         }
     }
 
+    /// When a request that would go to the queue of the primary goes to the replicas instead, because they are expected to
+    /// have its log point by then. `None` if it does not.
+    pub(super) fn replica_catch_up(
+        &self,
+        requirement: ServerRequirement,
+        wait_deadline: Time,
+        now: Time,
+    ) -> Option<Time> {
+        let ServerRequirement::AtLeast(point) = requirement else {
+            return None;
+        };
+        if self.overload_order == OverloadOrder::Shared {
+            return None;
+        }
+        let reached = self.samples.first_reached_at(point)?;
+        let expected = self
+            .reachable_replicas(now)
+            .map(|r| r.lag.expected_at(reached, now));
+        wait_for_replica(self.is_primary_strained(now), expected.min(), wait_deadline)
+    }
+
+    /// Whether the usable primary has refused work lately, or has let it wait for too long.
+    pub(super) fn is_primary_strained(&self, now: Time) -> bool {
+        let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
+        primary.is_some_and(|p| p.yielding.is_strained(now))
+    }
+
+    /// Servers besides the primary that may get new work and have not become unreachable.
+    fn reachable_replicas(&self, now: Time) -> impl Iterator<Item = &ServerPool<C>> {
+        let replicas = self.accepting_servers.iter().filter(|id| !self.is_primary(id));
+        replicas
+            .map(|id| &self.servers[id])
+            .filter(move |pool| !pool.is_unreachable(now))
+    }
+
     pub(super) fn queue(&mut self, queue_kind: QueueKind) -> &mut FairQueue<Waiter<R>> {
         match queue_kind {
             QueueKind::Primary => &mut self.primary_queue,
