Use the retry budget for urgent classes first

One budget serves all classes of a service at an instance, and the class with most of the load used it up.

Ruled out: a budget for each class, which would fill too slowly for the few urgent statements of one instance.

--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{LogPoint, PriorityClass, Time};
 use wasabiyard_schedule::QueuedRequest;
 
 /// Settings of the pool.
@@ -348,11 +348,14 @@
     }
 
     /// Whether a statement that a server refused may be tried again. When not, its caller is told to come back.
-    pub(super) fn may_retry(&self, service: &str) -> bool {
+    pub(super) fn may_retry(&self, service: &str, class: PriorityClass) -> bool {
         let mut services = self.services.borrow_mut();
         services
             .get_mut(service)
-            .is_some_and(|pool| pool.retries.try_withdraw())
+            .is_some_and(|pool| match pool.overload_order {
+                OverloadOrder::Shared => pool.retries.try_withdraw(),
+                OverloadOrder::ByRank => pool.retries.try_withdraw_for(class),
+            })
     }
 
     pub(super) fn on_failure(&self, service: &str, server: &str, started: Time, now: Time) {
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -120,7 +120,7 @@
                         if error == CallerError::Busy {
                             self.cx.pool.on_overloaded(&lease, now);
                         }
-                        if !self.cx.pool.may_retry(&route.service) {
+                        if !self.cx.pool.may_retry(&route.service, route.class) {
                             return mask_server_error(answer, error);
                         }
                         self.on_retry(req, route, &lease, error.name());
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -183,8 +183,8 @@
                         if error == CallerError::Busy {
                             self.cx.pool.on_overloaded(&lease, now);
                         }
-                        let may_retry =
-                            error == CallerError::Lagging || self.cx.pool.may_retry(&route.service);
+                        let may_retry = error == CallerError::Lagging
+                            || self.cx.pool.may_retry(&route.service, route.class);
                         if !may_retry || now + RETRY_DELAY >= deadline {
                             return Err((CallerError::Aborted, "the transaction could not start".into()));
                         }
--- a/crates/gateway/tests/support/crowd.rs
+++ b/crates/gateway/tests/support/crowd.rs
@@ -279,7 +279,7 @@
             }
             Policy::ByRank => {
                 state.yielding.on_overloaded(class, in_flight, now, &mut self.rng);
-                state.retries.try_withdraw()
+                state.retries.try_withdraw_for(class)
             }
         };
         if may_retry {
--- a/crates/schedule/tests/overload.rs
+++ b/crates/schedule/tests/overload.rs
@@ -145,3 +145,34 @@
     limiter.abandoned();
     assert_eq!(limiter.running(), 0);
 }
+
+/// One instance's traffic at a server that refuses every second statement: the retries of the class with most of the load
+/// used up the budget, and urgent statements were not tried again.
+#[test]
+fn retries_go_to_the_most_urgent_class_first() {
+    for seed in 0..5 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut budget = RetryBudget::default();
+        let mut refused = [0_u32; 3];
+        let mut retried = [0_u32; 3];
+        for _ in 0..4_000 {
+            let rank = match rng.random_range(0..100) {
+                0..10 => 0,
+                10..85 => 1,
+                _ => 2,
+            };
+            budget.deposit();
+            if rng.random_bool(0.5) {
+                refused[rank] += 1;
+                retried[rank] += u32::from(budget.try_withdraw_for(PriorityClass::from_rank(rank)));
+            }
+        }
+        let part = |rank: usize| f64::from(retried[rank]) / f64::from(refused[rank]);
+        assert!(part(0) > 0.95, "{retried:?} of {refused:?}");
+        assert!(part(1) > 0.05 && part(1) > part(2), "{retried:?} of {refused:?}");
+    }
+    let mut full = RetryBudget::default();
+    assert!(PriorityClass::all().all(|class| RetryBudget::default().try_withdraw_for(class)));
+    let last = PriorityClass::from_rank(PriorityClass::COUNT - 1);
+    assert!(full.try_withdraw_for(last) && !full.try_withdraw_for(last));
+}
