Refuse at once what a paused class cannot do in its time

Statements of a paused class waited for their whole time, and callers that one instance refused within a pause were all told the same time, so that they returned together. Where the priorities are ordered by rank, a statement is refused when its class is paused at each server that could run it, also while it waits, and each refusal within one pause gets a later time, up to a bound.

Ruled out: random times, of which two may be the same.

--- a/crates/gateway/src/traffic/assignment.rs
+++ b/crates/gateway/src/traffic/assignment.rs
@@ -92,7 +92,7 @@
     }
 
     /// Servers for queued reads of a class. The primary is left out while requests wait in its own queue.
-    fn read_servers(&self, class: PriorityClass, now: Time) -> impl Iterator<Item = &Arc<str>> {
+    pub(super) fn read_servers(&self, class: PriorityClass, now: Time) -> impl Iterator<Item = &Arc<str>> {
         let may_use_primary = self.primary_queue.is_empty()
             && match self.overload_order {
                 OverloadOrder::Shared => true,
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -2,6 +2,7 @@
 
 use super::ordered_connection::OrderedConnection;
 use super::pool::Pool;
+use super::service_pool::QueueKind;
 use crate::connection_state::{ConnectionState, MAX_PREPARED_STATEMENTS, SessionValues};
 use crate::metrics::StrayCause;
 use crate::{
@@ -158,6 +159,15 @@
         }
     }
 
+    /// The queue whose requests the server was leased for.
+    pub(super) const fn queue_kind(&self) -> QueueKind {
+        if self.epoch.is_some() {
+            QueueKind::Primary
+        } else {
+            QueueKind::Reads
+        }
+    }
+
     /// Closes the connection instead of returning it to the pool.
     pub(super) fn discard(&mut self) {
         self.conn = None;
--- a/crates/gateway/src/traffic/overload_yield.rs
+++ b/crates/gateway/src/traffic/overload_yield.rs
@@ -96,11 +96,21 @@
 }
 
 impl OverloadYield {
+    /// How many of `max_open` connections statements of `class` may use.
+    pub fn limit_connections(&self, class: PriorityClass, max_open: u32) -> u32 {
+        f64::from(max_open).min(self.class_limit(class)) as u32
+    }
+
+    /// Statements of this instance that may be in flight before one of `class` starts; infinite until the server refuses
+    /// one.
+    fn class_limit(&self, class: PriorityClass) -> f64 {
+        let part = IN_FLIGHT_PART.powi(class.rank() as i32);
+        (self.in_flight_limit * part).max(1.0)
+    }
+
     /// Whether the server may get a statement of `class` at `now`, besides `in_flight` ones.
     pub fn allows(&self, class: PriorityClass, in_flight: u32, now: Time) -> bool {
-        let part = IN_FLIGHT_PART.powi(class.rank() as i32);
-        let limit = (self.in_flight_limit * part).max(1.0);
-        f64::from(in_flight) < limit && now >= self.pause_until(class)
+        f64::from(in_flight) < self.class_limit(class) && now >= self.pause_until(class)
     }
 
     /// When the pause of a class ends. Not before that of a more urgent class, unless the class has had no turn for as long
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -2,7 +2,7 @@
 
 use super::connection_lease::ConnectionLease;
 use super::ordered_connection::OrderedConnection;
-use super::service_pool::{QueueKind, ServicePool};
+use super::service_pool::ServicePool;
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
 use crate::metrics::Metrics;
@@ -214,12 +214,7 @@
         let conn = conn.filter(|c| !lease.in_transaction && c.recognises_repeats());
         let connection_state = std::mem::take(&mut lease.connection_state);
         if let Some(pool) = self.services.borrow_mut().get_mut(&lease.service) {
-            let queue_kind = if lease.epoch.is_some() {
-                QueueKind::Primary
-            } else {
-                QueueKind::Reads
-            };
-            pool.admission(queue_kind)
+            pool.admission(lease.queue_kind())
                 .record_service_time(now.saturating_since(lease.started), now);
             let limits = pool.limits;
             if let Some(server) = pool.servers.get_mut(&lease.server) {
@@ -336,10 +331,27 @@
                 server
                     .yielding
                     .on_overloaded(lease.class, server.in_use, now, &mut *rng);
+                drop((rng, services));
+                self.reject_unservable(&lease.service, now);
             }
         }
     }
 
+    /// Time after which the caller of a statement that the lease's server refused, and that is not tried again, should come
+    /// back. `None` where an overload delays all classes alike.
+    pub(super) fn retry_after_refusal(&self, lease: &ConnectionLease<C>, now: Time) -> Option<Duration> {
+        let mut services = self.services.borrow_mut();
+        let pool = services.get_mut(&lease.service)?;
+        if pool.overload_order == OverloadOrder::Shared {
+            return None;
+        }
+        let queue_kind = lease.queue_kind();
+        let pause = pool
+            .pause_until(queue_kind, lease.class, now)
+            .saturating_since(now);
+        Some(pool.retry_after(queue_kind, lease.class, pause, now))
+    }
+
     /// Counts the first attempt of a statement, which earns a part of a retry.
     pub(super) fn on_first_attempt(&self, service: &str) {
         if let Some(pool) = self.services.borrow_mut().get_mut(service) {
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -110,17 +110,19 @@
         let queue_kind = pool.queue_kind(lease_request.requirement, now);
         if queue_kind == QueueKind::Primary {
             check_primary_wait(pool, wait_deadline, now)?;
-            let pause_until = pool.primary_pause_until(lease_request.class);
-            if pause_until >= wait_deadline {
-                return Err(PoolError::Overloaded {
-                    retry_after: pause_until.saturating_since(now),
-                });
-            }
+        }
+        let class = lease_request.class;
+        let pause_until = pool.pause_until(queue_kind, class, now);
+        if pause_until >= wait_deadline {
+            let pause = pause_until.saturating_since(now);
+            return Err(PoolError::Overloaded {
+                retry_after: pool.retry_after(queue_kind, class, pause, now),
+            });
         }
         let ahead = pool
             .queue(queue_kind)
             .requests_ahead(lease_request.organisation, 1, lease_request.class);
-        let connections = pool.connection_capacity(queue_kind);
+        let connections = pool.connection_capacity(queue_kind, class, now);
         if !pool.queue(queue_kind).is_empty() {
             let admission = pool.admission(queue_kind);
             let retry_after = admission.estimated_wait(ahead, connections, now);
@@ -128,7 +130,9 @@
                 .admit(ahead, connections, lease_request.deadline, now)
                 .is_ok();
             if !in_time || now + retry_after >= wait_deadline {
-                return Err(PoolError::Overloaded { retry_after });
+                return Err(PoolError::Overloaded {
+                    retry_after: pool.retry_after(queue_kind, class, retry_after, now),
+                });
             }
         }
         let queued = QueuedRequest {
@@ -174,6 +178,31 @@
         }
     }
 
+    /// Rejects the waiters whose class is served again only after their deadline. Called after a refusal, which extends the
+    /// pauses.
+    pub(super) fn reject_unservable(&self, service: &str, now: Time) {
+        let mut rejected = Vec::new();
+        if let Some(pool) = self.services.borrow_mut().get_mut(service) {
+            for queue_kind in [QueueKind::Primary, QueueKind::Reads] {
+                let pauses: Vec<_> = PriorityClass::all()
+                    .map(|class| pool.pause_until(queue_kind, class, now))
+                    .collect();
+                let waiters = pool
+                    .queue(queue_kind)
+                    .take_unservable(|class| pauses[class.rank()]);
+                for (queued, waiter) in waiters {
+                    let pause = pauses[queued.class.rank()].saturating_since(now);
+                    let retry_after = pool.retry_after(queue_kind, queued.class, pause, now);
+                    rejected.push((waiter, retry_after));
+                }
+            }
+        }
+        for (waiter, retry_after) in rejected {
+            // The send fails when the waiter was cancelled, which needs no answer.
+            drop(waiter.reply.try_send(Err(PoolError::Overloaded { retry_after })));
+        }
+    }
+
     /// Delivers an idle connection to the waiter, or opens a new one for it in the background.
     pub(super) fn serve(
         self: &Rc<Self>,
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -5,7 +5,8 @@
 use super::connection_lease::{ConnectionLease, LeaseError};
 use super::pool_queue::LeaseRequest;
 use super::refusal::{
-    Refusal, lease_error_cause, lease_error_detail, log_unanswered, mask_server_error, pool_refusal,
+    Refusal, busy_error, lease_error_cause, lease_error_detail, log_unanswered, mask_server_error,
+    pool_refusal,
 };
 use super::requirement::{ServerRequirement, required_point};
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
@@ -102,7 +103,7 @@
                         }
                         return answer;
                     }
-                    Some(error) if expired => return mask_server_error(answer, error),
+                    Some(error) if expired => return self.final_refusal(answer, error, &lease, now),
                     Some(CallerError::Lagging) => {
                         self.on_retry(req, route, &lease, CallerError::Lagging.name());
                         if let Some(point) = at_least {
@@ -121,7 +122,7 @@
                             self.cx.pool.on_overloaded(&lease, now);
                         }
                         if !self.cx.pool.may_retry(&route.service, route.class) {
-                            return mask_server_error(answer, error);
+                            return self.final_refusal(answer, error, &lease, now);
                         }
                         self.on_retry(req, route, &lease, error.name());
                         drop(lease);
@@ -155,6 +156,25 @@
         }
     }
 
+    /// The answer to a statement that a server refused and that is not tried again. Where less urgent classes yield first,
+    /// an overload carries the time at which the class is served again.
+    fn final_refusal(
+        &self,
+        answer: Answer,
+        error: CallerError,
+        lease: &ConnectionLease<C>,
+        now: Time,
+    ) -> Answer {
+        let retry_after = self.cx.pool.retry_after_refusal(lease, now);
+        match retry_after.filter(|_| error == CallerError::Busy) {
+            Some(retry_after) => {
+                let (error, detail) = busy_error("overloaded", retry_after);
+                Answer::error(error, detail, TransactionStatus::Idle)
+            }
+            None => mask_server_error(answer, error),
+        }
+    }
+
     /// Counts and logs a retry of a statement.
     pub(super) fn on_retry(
         &self,
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,8 +1,9 @@
 //! The connections of one service, and the queues of requests that wait for them.
 
 use super::connection_limits::ConnectionLimits;
-use super::primary_room::wait_for_replica;
+use super::primary_room::{primary_connection_limit, wait_for_replica};
 use super::requirement::ServerRequirement;
+use super::retry_times::RetryTimes;
 use super::server_pool::ServerPool;
 use crate::connection_state::SessionValues;
 use crate::{ClusterSnapshot, OverloadOrder, PrimaryView};
@@ -63,6 +64,9 @@
     pub(super) read_queue: FairQueue<Waiter<R>>,
     pub(super) primary_admission: AdmissionControl,
     pub(super) read_admission: AdmissionControl,
+    /// When callers that the queue of the primary or of the replicas refused come back.
+    primary_retry_times: RetryTimes,
+    read_retry_times: RetryTimes,
     /// Limits retries of statements that a server refused.
     pub(super) retries: RetryBudget,
     /// Servers that are no longer listed, with the time at which this was noticed.
@@ -86,6 +90,8 @@
             read_queue: FairQueue::default(),
             primary_admission: AdmissionControl::default(),
             read_admission: AdmissionControl::default(),
+            primary_retry_times: RetryTimes::default(),
+            read_retry_times: RetryTimes::default(),
             retries: RetryBudget::default(),
             unlisted: BTreeMap::new(),
             accepting_servers: Vec::new(),
@@ -278,13 +284,63 @@
         }
     }
 
-    /// Number of connections of this instance that can serve a queue.
-    pub(super) fn connection_capacity(&self, queue_kind: QueueKind) -> usize {
-        let servers = match queue_kind {
-            QueueKind::Primary => 1,
-            QueueKind::Reads => self.accepting_servers.len().max(1),
+    /// Number of connections of this instance that can serve a class of a queue.
+    pub(super) fn connection_capacity(
+        &self,
+        queue_kind: QueueKind,
+        class: PriorityClass,
+        now: Time,
+    ) -> usize {
+        let max_open = self.limits.max_open;
+        match (self.overload_order, queue_kind) {
+            (OverloadOrder::Shared, QueueKind::Primary) => max_open as usize,
+            (OverloadOrder::Shared, QueueKind::Reads) => {
+                self.accepting_servers.len().max(1) * max_open as usize
+            }
+            (OverloadOrder::ByRank, QueueKind::Primary) => {
+                let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
+                let limit = primary_connection_limit(class, max_open);
+                primary.map_or(limit, |p| p.yielding.limit_connections(class, limit)) as usize
+            }
+            (OverloadOrder::ByRank, QueueKind::Reads) => {
+                let servers = self.read_servers(class, now).map(|id| &self.servers[id]);
+                let limits = servers.map(|pool| pool.yielding.limit_connections(class, max_open) as usize);
+                limits.sum::<usize>().max(1)
+            }
+        }
+    }
+
+    /// When the first server of a queue gets its next request of a class, after pauses; the start of time if one may get
+    /// it now. Pauses of replicas count only where each class has its own.
+    pub(super) fn pause_until(&self, queue_kind: QueueKind, class: PriorityClass, now: Time) -> Time {
+        match (queue_kind, self.overload_order) {
+            (QueueKind::Primary, _) => self.primary_pause_until(class),
+            (QueueKind::Reads, OverloadOrder::Shared) => Time::ZERO,
+            (QueueKind::Reads, OverloadOrder::ByRank) => {
+                let servers = self.read_servers(class, now).map(|id| &self.servers[id]);
+                let pauses = servers
+                    .filter(|pool| !pool.is_unreachable(now))
+                    .map(|pool| pool.overload_pause_until(class));
+                pauses.min().unwrap_or(Time::ZERO)
+            }
+        }
+    }
+
+    /// The time to come back for a caller that is refused, when its request could start `after` now. Later refusals within
+    /// one pause get later times, where the classes are ordered by rank.
+    pub(super) fn retry_after(
+        &mut self,
+        queue_kind: QueueKind,
+        class: PriorityClass,
+        after: Duration,
+        now: Time,
+    ) -> Duration {
+        let retry_times = match (self.overload_order, queue_kind) {
+            (OverloadOrder::Shared, _) => return after,
+            (OverloadOrder::ByRank, QueueKind::Primary) => &mut self.primary_retry_times,
+            (OverloadOrder::ByRank, QueueKind::Reads) => &mut self.read_retry_times,
         };
-        servers * self.limits.max_open as usize
+        retry_times.next(class, now + after, now)
     }
 
     /// Records the log point that the primary had when it answered a statement sent at `requested_at`.
--- a/crates/gateway/tests/primary_room.rs
+++ b/crates/gateway/tests/primary_room.rs
@@ -1,196 +1,23 @@
 //! What may use the primary where the configuration tells its priorities apart: a pool with three servers in memory.
 
+#[path = "support/site.rs"]
+mod site;
 mod support;
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use site::{Site, open_context};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use support::{open_pool, snapshot_with_primary};
-use wasabiyard_gateway::metrics::Metrics;
-use wasabiyard_gateway::rate::RateLimiterState;
-use wasabiyard_gateway::traffic::{
-    OperationRateLimiter, ReplicaLag, Session, SessionContext, SessionSettings, primary_connection_limit,
-    wait_for_replica,
-};
-use wasabiyard_gateway::{
-    Answer, BackendServer, ClusterSnapshot, Command, Configuration, ConnectOutcome, ConnectionError,
-    Connector, Freshness, IdleState, Login, Outcome, OverloadOrder, Request, Role, RouteRule,
-    ServerConnection, ServerStatus, ServiceRule, Statement, Target, TransactionStatus, clock,
-};
-use wasabiyard_model::{InstanceId, LogPoint, PriorityClass, Term, Time, Version};
-
-const EXECUTION: Duration = Duration::from_millis(20);
-/// One instance may open five connections to a server with three.
-const SERVER_CONNECTIONS: u32 = 3;
-
-/// What a server has done.
-#[derive(Debug, Clone, Copy, Default)]
-struct Load {
-    statements: u32,
-    running: u32,
-    most_running: u32,
-}
-
-/// Servers that answer each statement after [`EXECUTION`].
-#[derive(Debug, Clone, Default)]
-struct Site {
-    loads: Rc<RefCell<HashMap<Arc<str>, Load>>>,
-    digests: Rc<Cell<u32>>,
-}
-
-impl Site {
-    fn load(&self, server: &str) -> Load {
-        self.loads.borrow().get(server).copied().unwrap_or_default()
-    }
-}
-
-#[derive(Debug)]
-struct SiteConnection {
-    site: Site,
-    server: Arc<str>,
-}
-
-impl Connector for Site {
-    type Connection = SiteConnection;
-
-    async fn connect(&self, target: &Target) -> Result<ConnectOutcome<SiteConnection>, ConnectionError> {
-        let connection = SiteConnection {
-            site: self.clone(),
-            server: Arc::clone(&target.server),
-        };
-        Ok(ConnectOutcome::Open(connection, Some(LogPoint::new(1, 1))))
-    }
-}
-
-impl SiteConnection {
-    fn with_load<F>(&self, f: F)
-    where
-        F: FnOnce(&mut Load),
-    {
-        f(self
-            .site
-            .loads
-            .borrow_mut()
-            .entry(Arc::clone(&self.server))
-            .or_default());
-    }
-}
-
-impl ServerConnection for SiteConnection {
-    async fn run(&mut self, cmd: Command<'_>) -> Result<Answer, ConnectionError> {
-        if !cmd.is_statement() {
-            return Ok(Answer::local(TransactionStatus::Idle));
-        }
-        self.with_load(|load| {
-            load.statements += 1;
-            load.running += 1;
-            load.most_running = load.most_running.max(load.running);
-        });
-        Timer::after(EXECUTION).await;
-        self.with_load(|load| load.running -= 1);
-        self.site.digests.set(self.site.digests.get() + 1);
-        Ok(Answer {
-            outcome: Outcome::Done {
-                digest: Some(self.site.digests.get().to_string().into()),
-            },
-            point: Some(LogPoint::new(1, 1)),
-            ..Answer::local(TransactionStatus::Idle)
-        })
-    }
-
-    async fn receive(&mut self) -> Result<Option<Answer>, ConnectionError> {
-        Err(ConnectionError::Closed)
-    }
-
-    async fn status(&mut self) -> Result<Option<ServerStatus>, ConnectionError> {
-        Ok(None)
-    }
-
-    async fn demote(&mut self, _term: Term) -> Result<Option<ServerStatus>, ConnectionError> {
-        Ok(None)
-    }
-
-    fn idle_state(&self) -> IdleState {
-        IdleState::Quiet
-    }
-}
-
-fn route(name: &str, rank: usize, freshness: Freshness) -> (Arc<str>, Arc<RouteRule>) {
-    let rule = RouteRule {
-        name: name.into(),
-        service: "members".into(),
-        freshness,
-        timeout: Duration::from_secs(2),
-        // So long that no wait of a busy test machine counts as strain.
-        target_latency: Duration::from_mins(1),
-        class: PriorityClass::from_rank(rank),
-        public: true,
-    };
-    (name.into(), Arc::new(rule))
-}
-
-/// A primary `p` and two replicas.
-fn snapshot(overload_order: OverloadOrder) -> ClusterSnapshot {
-    let now = clock::now();
-    let configuration = Configuration {
-        version: Version(1),
-        routes: [
-            route("urgent", 0, Freshness::Latest),
-            route("latest", 1, Freshness::Latest),
-            route("reads", 1, Freshness::Bounded(Duration::from_secs(30))),
-        ]
-        .into(),
-        services: [(
-            "members".into(),
-            ServiceRule {
-                max_connections: SERVER_CONNECTIONS,
-                sync_replicas: 0,
-            },
-        )]
-        .into(),
-        overload_order,
-        ..Configuration::default()
-    };
-    let mut snapshot = ClusterSnapshot {
-        configuration: Some(Arc::new(configuration)),
-        configuration_as_of: now,
-        servers_as_of: now,
-        domains_as_of: now,
-        ..snapshot_with_primary(now)
-    };
-    let primary = Arc::clone(&snapshot.servers["p"]);
-    for id in ["r1", "r2"] {
-        let replica = BackendServer {
-            id: id.into(),
-            role: Role::Replica,
-            ..(*primary).clone()
-        };
-        snapshot.servers.insert(id.into(), Arc::new(replica));
-    }
-    snapshot
-}
+use wasabiyard_gateway::traffic::{ReplicaLag, Session, primary_connection_limit, wait_for_replica};
+use wasabiyard_gateway::{Login, OverloadOrder, Request, Statement};
+use wasabiyard_model::{PriorityClass, Time};
 
 /// Runs one statement on each of `routes` one after the other, then one on each of `at_once` at the same time.
 fn run(overload_order: OverloadOrder, routes: &[&'static str], at_once: &[&'static str]) -> Site {
     let executor = Rc::new(LocalExecutor::new());
-    let metrics = Metrics::open().expect("metrics");
     let site = Site::default();
-    let pool = open_pool(site.clone(), &metrics, &executor);
-    pool.update(&Arc::new(snapshot(overload_order)), clock::now());
-    let limiter = RateLimiterState::new(InstanceId::from("i1"), 10.0);
-    let cx = Rc::new(SessionContext {
-        pool,
-        rate_limiter: Rc::new(OperationRateLimiter::new(limiter, Box::new(|_, _| {}))),
-        metrics,
-        executor: Rc::clone(&executor),
-        settings: Cell::new(SessionSettings {
-            key_lifetime: Duration::from_secs(4),
-        }),
-    });
+    let cx = open_context(&site, overload_order, &executor);
     let statement = |route: &'static str, id: usize| {
         let cx = Rc::clone(&cx);
         async move {
--- a/crates/schedule/tests/fair_queue.rs
+++ b/crates/schedule/tests/fair_queue.rs
@@ -261,3 +261,27 @@
     let normal = queue.pop_urgent(Time::ZERO, |class| class != PriorityClass::CRITICAL);
     assert_eq!(normal.expect("a request").0.class, PriorityClass::NORMAL);
 }
+
+/// Requests of a paused class waited for their deadline although nothing could start them before it.
+#[test]
+fn requests_that_cannot_start_in_time_are_taken_out() {
+    let mut queue = FairQueue::default();
+    let at = Time::from_millis;
+    for (id, class, deadline) in [
+        (0, PriorityClass::CRITICAL, 100),
+        (1, PriorityClass::NORMAL, 100),
+        (2, PriorityClass::NORMAL, 400),
+        (3, PriorityClass::BACKGROUND, 400),
+    ] {
+        let entry = request("zoo", 1, class, at(deadline));
+        queue.push(entry, id, Time::ZERO).expect("a short queue");
+    }
+    let pauses = [at(20), at(300), at(400)];
+    let taken = queue.take_unservable(|class| pauses[class.rank()]);
+    assert_eq!(taken.iter().map(|(_, id)| *id).collect::<Vec<_>>(), [1, 3]);
+    assert_eq!((queue.len(), queue.organisation_len("zoo")), (2, 2));
+    let left: Vec<_> = std::iter::from_fn(|| queue.pop(Time::ZERO))
+        .map(|(_, id)| id)
+        .collect();
+    assert_eq!(left, [0, 2]);
+}
