Send statements of transactions that have begun before new work

A transaction that a server refused midway found its place taken by new statements of the same instance, and its caller started again. Where the priorities are ordered by rank, the instance holds back new work of the same and less urgent classes at that server until the statement has been sent again, and learns from the refusal as from any other. The first statement of a transaction waits as new work does. What the pool learns from answers moves to a file of its own.

Ruled out: holding back more urgent new work as well, which lets one transaction of a report delay a booking.

--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod pool;
 mod pool_connect;
+mod pool_feedback;
 mod pool_queue;
 mod primary_release;
 mod primary_room;
@@ -28,6 +29,7 @@
 mod service_pool;
 mod session;
 mod transaction;
+mod transaction_wait;
 
 pub use access::{admit, check_key};
 pub use answer_order::{AnswerMatch, AnswerOrder};
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -6,7 +6,7 @@
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
 use crate::metrics::Metrics;
-use crate::{Answer, CallerError, ClusterSnapshot, Connector, OverloadOrder};
+use crate::{ClusterSnapshot, Connector};
 use async_executor::LocalExecutor;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, PriorityClass, Time};
+use wasabiyard_model::{LogPoint, Time};
 use wasabiyard_schedule::QueuedRequest;
 
 /// Settings of the pool.
@@ -237,139 +237,6 @@
         self.dispatch(&service, now);
     }
 
-    /// Records the answer to a command that was sent at `sent_at`. The statement records a refusal as overloaded itself,
-    /// with [`Self::on_overloaded`].
-    pub(super) fn on_answer(
-        &self,
-        lease: &ConnectionLease<C>,
-        sent_at: Time,
-        answer: &Answer,
-        is_statement: bool,
-        now: Time,
-    ) {
-        let point = answer.point;
-        let mut services = self.services.borrow_mut();
-        let Some(pool) = services.get_mut(&lease.service) else {
-            return;
-        };
-        let on_current_primary =
-            lease.epoch.is_some() && pool.usable_primary().map(|(_, e)| e) == lease.epoch;
-        // Only a digest shows that the answer is not an older one that came late, with an older point.
-        let is_recent = is_statement && answer.failure().is_none();
-        if let Some(point) = point
-            && is_recent
-            && on_current_primary
-        {
-            pool.on_primary_point(sent_at, point);
-        }
-        let urgent_tolerance = pool.urgent_tolerance;
-        if let Some(server) = pool.servers.get_mut(&lease.server) {
-            server.on_point(point);
-            if answer.failure() != Some(CallerError::Busy) {
-                server.on_answer(now.saturating_since(sent_at), is_statement, now);
-                if is_statement && pool.overload_order == OverloadOrder::ByRank {
-                    let took = now.saturating_since(sent_at);
-                    server.yielding.on_answer(
-                        lease.class,
-                        took,
-                        urgent_tolerance,
-                        now,
-                        &mut *self.rng.borrow_mut(),
-                    );
-                }
-            }
-        }
-    }
-
-    /// Updates the lag estimate of a replica that refused or served `point`.
-    pub(super) fn on_replica_point(
-        &self,
-        lease: &ConnectionLease<C>,
-        point: LogPoint,
-        served: bool,
-        now: Time,
-    ) {
-        let mut services = self.services.borrow_mut();
-        let Some(pool) = services.get_mut(&lease.service) else {
-            return;
-        };
-        let Some(reached) = pool.samples.first_reached_at(point) else {
-            return;
-        };
-        let age = now.saturating_since(reached);
-        if let Some(server) = pool.servers.get_mut(&lease.server) {
-            if served {
-                server.lag.on_served(age);
-            } else {
-                server.lag.on_refused(age, now);
-            }
-        }
-    }
-
-    /// Records that the lease's server refused a statement as overloaded. Other servers are preferred until answers
-    /// lower its latency again.
-    pub(super) fn on_overloaded(&self, lease: &ConnectionLease<C>, now: Time) {
-        self.metrics.on_server_refusal(&lease.service, lease.class);
-        let mut services = self.services.borrow_mut();
-        let Some(pool) = services.get_mut(&lease.service) else {
-            return;
-        };
-        let Some(server) = pool.servers.get_mut(&lease.server) else {
-            return;
-        };
-        let mut rng = self.rng.borrow_mut();
-        server.latency.on_overloaded();
-        match pool.overload_order {
-            OverloadOrder::Shared => server.health.on_overloaded(server.in_use, now, &mut *rng),
-            OverloadOrder::ByRank => {
-                if !server.yielding.is_strained(now) {
-                    log::info!(
-                        service:% = lease.service, server:% = lease.server, class = lease.class.rank();
-                        "a backend server refuses work; less urgent classes yield"
-                    );
-                }
-                server
-                    .yielding
-                    .on_overloaded(lease.class, server.in_use, now, &mut *rng);
-                drop((rng, services));
-                self.reject_unservable(&lease.service, now);
-            }
-        }
-    }
-
-    /// Time after which the caller of a statement that the lease's server refused, and that is not tried again, should come
-    /// back. `None` where an overload delays all classes alike.
-    pub(super) fn retry_after_refusal(&self, lease: &ConnectionLease<C>, now: Time) -> Option<Duration> {
-        let mut services = self.services.borrow_mut();
-        let pool = services.get_mut(&lease.service)?;
-        if pool.overload_order == OverloadOrder::Shared {
-            return None;
-        }
-        let queue_kind = lease.queue_kind();
-        let pause = pool
-            .pause_until(queue_kind, lease.class, now)
-            .saturating_since(now);
-        Some(pool.retry_after(queue_kind, lease.class, pause, now))
-    }
-
-    /// Counts the first attempt of a statement, which earns a part of a retry.
-    pub(super) fn on_first_attempt(&self, service: &str) {
-        if let Some(pool) = self.services.borrow_mut().get_mut(service) {
-            pool.retries.deposit();
-        }
-    }
-
-    /// Whether a statement that a server refused may be tried again. When not, its caller is told to come back.
-    pub(super) fn may_retry(&self, service: &str, class: PriorityClass) -> bool {
-        let mut services = self.services.borrow_mut();
-        services
-            .get_mut(service)
-            .is_some_and(|pool| match pool.overload_order {
-                OverloadOrder::Shared => pool.retries.try_withdraw(),
-                OverloadOrder::ByRank => pool.retries.try_withdraw_for(class),
-            })
-    }
-
     pub(super) fn on_failure(&self, service: &str, server: &str, started: Time, now: Time) {
         self.with_server(service, server, |s| s.on_failure(started, now));
     }
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -2,7 +2,7 @@
 
 use super::backend_statement::BackendStatement;
 use super::connection_wait::connection_wait_deadline;
-use super::refusal::{Refusal, lease_error_detail, log_unanswered};
+use super::refusal::{Refusal, busy_error, lease_error_detail, log_unanswered};
 use super::requirement::ServerRequirement;
 use super::run_autocommit::MAX_REFUSED_BACKOFF;
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
@@ -82,7 +82,13 @@
         if let Err((error, detail)) = self.open_transaction().await {
             return self.fail(error, detail);
         }
-        let Some(Transaction::Open { lease, wrote, route }) = &mut self.transaction else {
+        let Some(Transaction::Open {
+            lease,
+            wrote,
+            has_run,
+            route,
+        }) = &mut self.transaction
+        else {
             return self.fail(CallerError::Aborted, "the transaction is gone");
         };
         let deadline = clock::now() + route.timeout.saturating_sub(ANSWER_MARGIN);
@@ -116,14 +122,25 @@
                 answer.transaction_status = TransactionStatus::Failed;
             }
             match answer.failure() {
-                Some(CallerError::Busy)
-                    if answer.transaction_status == TransactionStatus::InTransaction
-                        && clock::now() + backoff < retry_until =>
-                {
-                    Timer::after(backoff).await;
+                Some(CallerError::Busy) if answer.transaction_status == TransactionStatus::InTransaction => {
+                    let now = clock::now();
+                    let by_rank = self.cx.pool.wait_in_transaction(lease, *has_run, now);
+                    let delay = by_rank.as_ref().map_or(backoff, |(delay, _)| *delay);
+                    if now + delay >= retry_until {
+                        if by_rank.is_some() {
+                            let (error, detail) = busy_error("overloaded", delay);
+                            answer = Answer::error(error, detail, answer.transaction_status);
+                        }
+                        return self.finish_statement(answer);
+                    }
+                    Timer::after(delay).await;
+                    drop(by_rank);
                     backoff = (backoff * 2).min(MAX_REFUSED_BACKOFF);
                 }
-                _ => return self.finish_statement(answer),
+                failure => {
+                    *has_run |= failure.is_none();
+                    return self.finish_statement(answer);
+                }
             }
         }
     }
@@ -170,6 +187,7 @@
                         self.transaction = Some(Transaction::Open {
                             lease,
                             wrote: false,
+                            has_run: false,
                             route,
                         });
                         return Ok(());
@@ -221,6 +239,7 @@
             mut lease,
             wrote,
             route,
+            ..
         }) = self.transaction.take()
         else {
             return Answer::error(
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -36,6 +36,8 @@
     pub(super) health: ServerHealth,
     /// Not used where an overload delays all classes alike.
     pub(super) yielding: OverloadYield,
+    /// Classes of the transactions that wait to send a refused statement again.
+    pub(super) waiting_transactions: Vec<PriorityClass>,
     /// Closing the channel revokes the leases, which hold clones of the receiver.
     revocation: (Sender<()>, Receiver<()>),
 }
@@ -51,6 +53,7 @@
             lag: ReplicaLag::default(),
             health: ServerHealth::default(),
             yielding: OverloadYield::default(),
+            waiting_transactions: Vec::new(),
             revocation: async_channel::bounded(1),
         }
     }
@@ -64,7 +67,9 @@
 
     /// Whether a connection can be leased to a statement of `class` without waiting.
     pub(super) fn available_to(&self, class: PriorityClass, limit: u32, now: Time) -> bool {
-        self.available(limit, now) && self.yielding.allows(class, self.in_use, now)
+        self.available(limit, now)
+            && self.yielding.allows(class, self.in_use, now)
+            && self.waiting_transactions.iter().all(|waiting| class < *waiting)
     }
 
     /// Whether the server takes no statement of `class` before `at`, as far as is known.
--- a/crates/gateway/src/traffic/transaction.rs
+++ b/crates/gateway/src/traffic/transaction.rs
@@ -26,6 +26,8 @@
         lease: ConnectionLease<C>,
         /// Whether a write was sent.
         wrote: bool,
+        /// Whether a statement of the transaction has run.
+        has_run: bool,
         /// The route in force at its start.
         route: Arc<RouteRule>,
     },
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Site {
     pub full: Rc<Cell<bool>>,
+    /// Ids of the statements that the servers received.
+    pub received: Rc<RefCell<Vec<String>>>,
     loads: Rc<RefCell<HashMap<Arc<str>, Load>>>,
     digests: Rc<Cell<u32>>,
 }
@@ -94,6 +96,8 @@
             load.running += 1;
             load.most_running = load.most_running.max(load.running);
         });
+        let id = cmd.request_id().unwrap_or_default().to_owned();
+        self.site.received.borrow_mut().push(id);
         if self.site.full.get() {
             self.with_load(|load| load.running -= 1);
             return Ok(Answer::error(CallerError::Busy, "full", status));
