--- a/crates/gateway/src/traffic/pool_feedback.rs
+++ b/crates/gateway/src/traffic/pool_feedback.rs
@@ -48,6 +48,7 @@
                 server.on_answer(now.saturating_since(sent_at), is_statement, now);
                 if is_statement && pool.overload_order == OverloadOrder::ByRank {
                     let took = now.saturating_since(sent_at);
+                    let was_strained = server.yielding.is_strained(now);
                     server.yielding.on_answer(
                         lease.class,
                         took,
@@ -55,6 +56,9 @@
                         now,
                         &mut *self.rng.borrow_mut(),
                     );
+                    if !was_strained && server.yielding.is_strained(now) {
+                        log_strain(lease, "long_wait");
+                    }
                 }
             }
         }
@@ -102,10 +106,7 @@
             OverloadOrder::Shared => server.health.on_overloaded(server.in_use, now, &mut *rng),
             OverloadOrder::ByRank => {
                 if !server.yielding.is_strained(now) {
-                    log::info!(
-                        service:% = lease.service, server:% = lease.server, class = lease.class.rank();
-                        "a backend server refuses work; less urgent classes yield"
-                    );
+                    log_strain(lease, "refusal");
                 }
                 server
                     .yielding
@@ -176,3 +177,14 @@
         Some((pause.max(BEGUN_TRANSACTION_DELAY), None))
     }
 }
+
+/// Logs that a server has become strained. At most once in the time for which it counts as strained.
+fn log_strain<C>(lease: &ConnectionLease<C>, cause: &'static str)
+where
+    C: Connector + 'static,
+{
+    log::info!(
+        service:% = lease.service, server:% = lease.server, cause = cause, class = lease.class.rank();
+        "backend server under strain; less urgent classes yield"
+    );
+}
