--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -3,6 +3,7 @@
 use super::ordered_connection::OrderedConnection;
 use super::pool::Pool;
 use super::region_distances::RoundTripKind;
+use super::service_pool::QueueKind;
 use crate::connection_state::{ConnectionState, MAX_PREPARED_STATEMENTS, SessionValues};
 use crate::metrics::StrayCause;
 use crate::usage::OperationCount;
@@ -17,7 +18,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::Time;
+use wasabiyard_model::{PriorityClass, Time};
 
 /// Timeout of commands that occupy no execution slot at the backend server: session values, prepared names, rollback.
 const SESSION_COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
@@ -42,6 +43,8 @@
     pub(super) service: Arc<str>,
     pub(super) server: Arc<str>,
     pub(super) organisation: Arc<str>,
+    /// Class of the statement or transaction.
+    pub(super) class: PriorityClass,
     /// Epoch of the primary record when the server was leased as the primary, `None` when it was leased as a replica.
     pub(super) epoch: Option<u64>,
     /// Closed when the lease is revoked; carries no messages.
@@ -182,6 +185,15 @@
         }
     }
 
+    /// The queue whose requests the server was leased for.
+    pub(super) const fn queue_kind(&self) -> QueueKind {
+        if self.epoch.is_some() {
+            QueueKind::Primary
+        } else {
+            QueueKind::Reads
+        }
+    }
+
     /// Closes the connection instead of returning it to the pool.
     pub(super) fn discard(&mut self) {
         self.conn = None;
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -3,11 +3,11 @@
 use super::connection_lease::ConnectionLease;
 use super::ordered_connection::OrderedConnection;
 use super::region_distances::RegionDistances;
-use super::service_pool::{QueueKind, ServicePool};
+use super::service_pool::ServicePool;
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
 use crate::metrics::Metrics;
-use crate::{Answer, CallerError, ClusterSnapshot, Connector, Regions};
+use crate::{ClusterSnapshot, Connector, Regions};
 use async_executor::LocalExecutor;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_schedule::QueuedRequest;
 
 /// Settings of the pool.
 #[derive(Debug, Clone)]
@@ -49,6 +50,18 @@
     NoServer,
 }
 
+impl PoolError {
+    /// Value of the label `cause` in metrics.
+    pub(super) const fn cause(self) -> &'static str {
+        match self {
+            Self::Overloaded { .. } => "overloaded",
+            Self::Deadline => "deadline",
+            Self::NoPrimary { .. } => "no_primary",
+            Self::NoServer => "no_server",
+        }
+    }
+}
+
 pub(super) type LeaseResult<C> = Result<ConnectionLease<C>, PoolError>;
 type Services<C> = HashMap<Arc<str>, ServicePool<<C as Connector>::Connection, LeaseResult<C>>>;
 
@@ -180,7 +193,7 @@
         self: &Rc<Self>,
         service: &Arc<str>,
         server: &Arc<str>,
-        organisation: &Arc<str>,
+        queued: &QueuedRequest,
         conn: OrderedConnection<C::Connection>,
         connection_state: ConnectionState,
         now: Time,
@@ -195,7 +208,8 @@
             pool: Rc::clone(self),
             service: Arc::clone(service),
             server: Arc::clone(server),
-            organisation: Arc::clone(organisation),
+            organisation: Arc::clone(&queued.organisation),
+            class: queued.class,
             epoch,
             revoked: pool.servers.get(server)?.revocation(),
             conn: Some(conn),
@@ -212,12 +226,7 @@
         let conn = conn.filter(|c| !lease.in_transaction && c.recognises_repeats());
         let connection_state = std::mem::take(&mut lease.connection_state);
         if let Some(pool) = self.services.borrow_mut().get_mut(&lease.service) {
-            let queue_kind = if lease.epoch.is_some() {
-                QueueKind::Primary
-            } else {
-                QueueKind::Reads
-            };
-            pool.admission(queue_kind)
+            pool.admission(lease.queue_kind())
                 .record_service_time(now.saturating_since(lease.started), now);
             let limits = pool.limits;
             if let Some(server) = pool.servers.get_mut(&lease.server) {
@@ -240,91 +249,6 @@
         self.dispatch(&service, now);
     }
 
-    /// Records the answer to a command that was sent at `sent_at`. The statement records a refusal as overloaded itself,
-    /// with [`Self::on_overloaded`].
-    pub(super) fn on_answer(
-        &self,
-        lease: &ConnectionLease<C>,
-        sent_at: Time,
-        answer: &Answer,
-        is_statement: bool,
-        now: Time,
-    ) {
-        let point = answer.point;
-        let mut services = self.services.borrow_mut();
-        let Some(pool) = services.get_mut(&lease.service) else {
-            return;
-        };
-        let on_current_primary =
-            lease.epoch.is_some() && pool.usable_primary().map(|(_, e)| e) == lease.epoch;
-        // Only a digest shows that the answer is not an older one that came late, with an older point.
-        let is_recent = is_statement && answer.failure().is_none();
-        if let Some(point) = point
-            && is_recent
-            && on_current_primary
-        {
-            pool.on_primary_point(sent_at, point);
-        }
-        if let Some(server) = pool.servers.get_mut(&lease.server) {
-            server.on_point(point);
-            if answer.failure() != Some(CallerError::Busy) {
-                let mut rng = self.rng.borrow_mut();
-                server.on_answer(now.saturating_since(sent_at), is_statement, now, &mut *rng);
-            }
-        }
-    }
-
-    /// Updates the lag estimate of a replica that refused or served `point`.
-    pub(super) fn on_replica_point(
-        &self,
-        lease: &ConnectionLease<C>,
-        point: LogPoint,
-        served: bool,
-        now: Time,
-    ) {
-        let mut services = self.services.borrow_mut();
-        let Some(pool) = services.get_mut(&lease.service) else {
-            return;
-        };
-        let Some(reached) = pool.samples.first_reached_at(point) else {
-            return;
-        };
-        let age = now.saturating_since(reached);
-        if let Some(server) = pool.servers.get_mut(&lease.server) {
-            if served {
-                server.lag.on_served(age);
-            } else {
-                server.lag.on_refused(age, now);
-            }
-        }
-    }
-
-    /// Records that the lease's server refused a statement as overloaded. Other servers are preferred until answers
-    /// lower its latency again.
-    pub(super) fn on_overloaded(&self, lease: &ConnectionLease<C>, now: Time) {
-        let mut rng = self.rng.borrow_mut();
-        self.with_server(&lease.service, &lease.server, |s| {
-            s.latency.on_overloaded();
-            s.health.on_overloaded(s.in_use, now, &mut *rng);
-            s.pace.on_overloaded(now);
-        });
-    }
-
-    /// Counts the first attempt of a statement, which earns a part of a retry.
-    pub(super) fn on_first_attempt(&self, service: &str) {
-        if let Some(pool) = self.services.borrow_mut().get_mut(service) {
-            pool.retries.deposit();
-        }
-    }
-
-    /// Whether a statement that a server refused may be tried again. When not, its caller is told to come back.
-    pub(super) fn may_retry(&self, service: &str) -> bool {
-        let mut services = self.services.borrow_mut();
-        services
-            .get_mut(service)
-            .is_some_and(|pool| pool.retries.try_withdraw())
-    }
-
     pub(super) fn on_failure(&self, service: &str, server: &str, started: Time, now: Time) {
         self.with_server(service, server, |s| s.on_failure(started, now));
     }
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -1,12 +1,13 @@
 //! The queues of requests that wait for a connection, and their assignment to servers.
 
+use super::assignment::{Assignment, ConnectionSource};
 use super::connection_lease::ConnectionLease;
 use super::connection_wait::connection_wait_deadline;
 use super::crossing::CROSSING_RETRY;
 use super::pool::{LeaseResult, Pool, PoolError};
 use super::primary_wait::{check_primary_wait, queue_error};
 use super::requirement::ServerRequirement;
-use super::service_pool::{Assignment, ConnectionSource, QueueKind, Waiter};
+use super::service_pool::{QueueKind, Waiter};
 use crate::connection_state::SessionValues;
 use crate::{Connector, clock};
 use async_io::Timer;
@@ -40,6 +41,29 @@
     ///
     /// See [`PoolError`]; nothing was sent to a backend server for this request.
     pub(super) async fn acquire(self: &Rc<Self>, lease_request: &LeaseRequest<'_>) -> LeaseResult<C> {
+        let (service, class) = (lease_request.service, lease_request.class);
+        let requested_at = clock::now();
+        let result = self.wait_for_lease(lease_request, requested_at).await;
+        match &result {
+            Ok(lease) => {
+                let waited = clock::now().saturating_since(requested_at);
+                self.count_crossing(lease);
+                self.metrics
+                    .on_placed(service, class, lease.epoch.is_some(), waited);
+            }
+            Err(e) => self.metrics.on_not_placed(service, class, e.cause()),
+        }
+        result
+    }
+
+    async fn wait_for_lease(
+        self: &Rc<Self>,
+        lease_request: &LeaseRequest<'_>,
+        requested_at: Time,
+    ) -> LeaseResult<C> {
+        let wait_deadline = connection_wait_deadline(lease_request.deadline, requested_at);
+        self.wait_for_replicas(lease_request, wait_deadline, requested_at)
+            .await;
         let now = clock::now();
         let (tx, rx) = async_channel::bounded(1);
         let waiter = Waiter {
@@ -48,7 +72,6 @@
             values: Rc::clone(lease_request.values),
             reply: tx,
         };
-        let wait_deadline = connection_wait_deadline(lease_request.deadline, now);
         self.enqueue(lease_request, waiter, wait_deadline, now)?;
         self.dispatch(lease_request.service, now);
         // The queue rejects an expired waiter only when it is dispatched next, so the wait has a timer of its own.
@@ -58,12 +81,20 @@
             Err(PoolError::Deadline)
         };
         let served = async { rx.recv().await.unwrap_or(Err(PoolError::Deadline)) };
-        let lease = served.or(expired).await?;
-        let waited = clock::now().saturating_since(now);
-        self.count_crossing(&lease);
-        self.metrics
-            .on_placed(lease_request.service, lease.epoch.is_some(), waited);
-        Ok(lease)
+        served.or(expired).await
+    }
+
+    /// Waits until a replica has the log point of a read that would otherwise go to a primary under strain.
+    async fn wait_for_replicas(&self, lease_request: &LeaseRequest<'_>, wait_deadline: Time, now: Time) {
+        let catch_up = {
+            let services = self.services.borrow();
+            let pool = services.get(lease_request.service);
+            pool.filter(|p| p.queue_kind(lease_request.requirement, now) == QueueKind::Primary)
+                .and_then(|p| p.replica_catch_up(lease_request.requirement, wait_deadline, now))
+        };
+        if let Some(at) = catch_up {
+            Timer::after(at.saturating_since(now)).await;
+        }
     }
 
     /// Queues a request, unless the estimated wait shows that it would not be answered in time.
@@ -81,12 +112,14 @@
         let queue_kind = pool.queue_kind(lease_request.requirement, now);
         if queue_kind == QueueKind::Primary {
             check_primary_wait(pool, wait_deadline, now)?;
-            let pause_until = pool.primary_pause_until();
-            if pause_until >= wait_deadline {
-                return Err(PoolError::Overloaded {
-                    retry_after: pause_until.saturating_since(now),
-                });
-            }
+        }
+        let class = lease_request.class;
+        let pause_until = pool.pause_until(queue_kind, class, now);
+        if pause_until >= wait_deadline {
+            let pause = pause_until.saturating_since(now);
+            return Err(PoolError::Overloaded {
+                retry_after: pool.retry_after(queue_kind, class, pause, now),
+            });
         }
         let distances = self.distances.borrow();
         let locality = self.locality(distances.as_ref());
@@ -99,14 +132,15 @@
         let ahead = pool
             .queue(queue_kind)
             .requests_ahead(lease_request.organisation, 1, lease_request.class);
-        let turn = pool.paced_turn(queue_kind, ahead, now);
+        let turn = pool.paced_turn(queue_kind, class, ahead, now);
         if turn >= wait_deadline {
             self.metrics.on_pace_refusal(lease_request.service);
+            let pause = turn.saturating_since(now);
             return Err(PoolError::Overloaded {
-                retry_after: turn.saturating_since(now),
+                retry_after: pool.retry_after(queue_kind, class, pause, now),
             });
         }
-        let connections = pool.connection_capacity(queue_kind);
+        let connections = pool.connection_capacity(queue_kind, class, now);
         if !pool.queue(queue_kind).is_empty() {
             let admission = pool.admission(queue_kind);
             let retry_after = admission.estimated_wait(ahead, connections, now);
@@ -114,7 +148,9 @@
                 .admit(ahead, connections, lease_request.deadline, now)
                 .is_ok();
             if !in_time || now + retry_after >= wait_deadline {
-                return Err(PoolError::Overloaded { retry_after });
+                return Err(PoolError::Overloaded {
+                    retry_after: pool.retry_after(queue_kind, class, retry_after, now),
+                });
             }
         }
         let queued = QueuedRequest {
@@ -162,6 +198,31 @@
         }
     }
 
+    /// Rejects the waiters whose class is served again only after their deadline. Called after a refusal, which extends the
+    /// pauses.
+    pub(super) fn reject_unservable(&self, service: &str, now: Time) {
+        let mut rejected = Vec::new();
+        if let Some(pool) = self.services.borrow_mut().get_mut(service) {
+            for queue_kind in [QueueKind::Primary, QueueKind::Reads] {
+                let pauses: Vec<_> = PriorityClass::all()
+                    .map(|class| pool.pause_until(queue_kind, class, now))
+                    .collect();
+                let waiters = pool
+                    .queue(queue_kind)
+                    .take_unservable(|class| pauses[class.rank()]);
+                for (queued, waiter) in waiters {
+                    let pause = pauses[queued.class.rank()].saturating_since(now);
+                    let retry_after = pool.retry_after(queue_kind, queued.class, pause, now);
+                    rejected.push((waiter, retry_after));
+                }
+            }
+        }
+        for (waiter, retry_after) in rejected {
+            // The send fails when the waiter was cancelled, which needs no answer.
+            drop(waiter.reply.try_send(Err(PoolError::Overloaded { retry_after })));
+        }
+    }
+
     /// Delivers an idle connection to the waiter, or opens a new one for it in the background.
     pub(super) fn serve(
         self: &Rc<Self>,
@@ -177,14 +238,7 @@
         } = assignment;
         match source {
             ConnectionSource::Idle(idle) => {
-                let lease = self.new_lease(
-                    service,
-                    &server,
-                    &waiter.organisation,
-                    idle.conn,
-                    idle.connection_state,
-                    now,
-                );
+                let lease = self.new_lease(service, &server, &queued, idle.conn, idle.connection_state, now);
                 deliver_lease(&waiter, lease);
             }
             ConnectionSource::Connect => {
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -2,7 +2,7 @@
 
 use super::backend_statement::BackendStatement;
 use super::connection_wait::connection_wait_deadline;
-use super::refusal::{Refusal, lease_error_detail, log_unanswered};
+use super::refusal::{Refusal, busy_error, lease_error_detail, log_unanswered};
 use super::requirement::ServerRequirement;
 use super::run_autocommit::MAX_REFUSED_BACKOFF;
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
@@ -86,6 +86,7 @@
             lease,
             wrote,
             operation,
+            has_run,
             route,
         }) = &mut self.transaction
         else {
@@ -123,14 +124,25 @@
                 answer.transaction_status = TransactionStatus::Failed;
             }
             match answer.failure() {
-                Some(CallerError::Busy)
-                    if answer.transaction_status == TransactionStatus::InTransaction
-                        && clock::now() + backoff < retry_until =>
-                {
-                    Timer::after(backoff).await;
+                Some(CallerError::Busy) if answer.transaction_status == TransactionStatus::InTransaction => {
+                    let now = clock::now();
+                    let by_rank = self.cx.pool.wait_in_transaction(lease, *has_run, now);
+                    let delay = by_rank.as_ref().map_or(backoff, |(delay, _)| *delay);
+                    if now + delay >= retry_until {
+                        if by_rank.is_some() {
+                            let (error, detail) = busy_error("overloaded", delay);
+                            answer = Answer::error(error, detail, answer.transaction_status);
+                        }
+                        return self.finish_statement(answer);
+                    }
+                    Timer::after(delay).await;
+                    drop(by_rank);
                     backoff = (backoff * 2).min(MAX_REFUSED_BACKOFF);
                 }
-                _ => return self.finish_statement(answer),
+                failure => {
+                    *has_run |= failure.is_none();
+                    return self.finish_statement(answer);
+                }
             }
         }
     }
@@ -179,6 +191,7 @@
                             lease,
                             wrote: false,
                             operation,
+                            has_run: false,
                             route,
                         });
                         return Ok(());
@@ -187,13 +200,13 @@
                         let now = clock::now();
                         if let (CallerError::Lagging, Some(point)) = (error, at_least) {
                             self.cx.pool.on_replica_point(&lease, point, false, now);
-                            primary_only = self.cx.pool.primary_is_usable(&route.service, now);
+                            primary_only = self.cx.pool.lagging_read_needs_primary(&route.service, now);
                         }
                         if error == CallerError::Busy {
                             self.cx.pool.on_overloaded(&lease, now);
                         }
-                        let may_retry =
-                            error == CallerError::Lagging || self.cx.pool.may_retry(&route.service);
+                        let may_retry = error == CallerError::Lagging
+                            || self.cx.pool.may_retry(&route.service, route.class);
                         if !may_retry || now + RETRY_DELAY >= deadline {
                             return Err((CallerError::Aborted, "the transaction could not start".into()));
                         }
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -1,6 +1,7 @@
 //! The connections of this instance to one backend server, and the measured state of that server.
 
 use super::ordered_connection::OrderedConnection;
+use super::overload_yield::OverloadYield;
 use super::pace::{PaceShare, ServerPace};
 use super::placement::ReplicaLag;
 use super::server_health::ServerHealth;
@@ -11,7 +12,7 @@
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{LogPoint, PriorityClass, Time};
 
 /// An idle connection, which only its organisation may reuse.
 #[derive(Debug)]
@@ -36,6 +37,10 @@
     pub(super) lag: ReplicaLag,
     pub(super) health: ServerHealth,
     pub(super) pace: ServerPace,
+    /// Not used where an overload delays all classes alike.
+    pub(super) yielding: OverloadYield,
+    /// Classes of the transactions that wait to send a refused statement again.
+    pub(super) waiting_transactions: Vec<PriorityClass>,
     /// Closing the channel revokes the leases, which hold clones of the receiver.
     revocation: (Sender<()>, Receiver<()>),
 }
@@ -51,6 +56,8 @@
             applied: None,
             lag: ReplicaLag::default(),
             health: ServerHealth::default(),
+            yielding: OverloadYield::default(),
+            waiting_transactions: Vec::new(),
             revocation: async_channel::bounded(1),
         }
     }
@@ -63,6 +70,26 @@
             && (!self.idle.is_empty() || self.health.allows_connect(now))
     }
 
+    /// Whether a connection can be leased to a statement of `class` without waiting.
+    pub(super) fn available_to(&self, class: PriorityClass, limit: u32, now: Time) -> bool {
+        self.available(limit, now)
+            && self.yielding.allows(class, self.in_use, now)
+            && self.waiting_transactions.iter().all(|waiting| class < *waiting)
+    }
+
+    /// Whether the server takes no statement of `class` before `at`, as far as is known.
+    pub(super) fn is_closed_to(&self, class: PriorityClass, at: Time) -> bool {
+        self.is_unreachable(at)
+            || at < self.overload_pause_until(class)
+            || (self.idle.is_empty() && !self.health.allows_connect(at))
+    }
+
+    /// When the pause of a class after refusals as overloaded ends.
+    pub(super) fn overload_pause_until(&self, class: PriorityClass) -> Time {
+        let health = self.health.overload_pause_until();
+        health.max(self.yielding.pause_until(class))
+    }
+
     /// Takes the idle connection of an organisation that needs the fewest commands before the session can use it, by
     /// `adjustment_cost`.
     pub(super) fn take_idle<F>(&mut self, organisation: &str, adjustment_cost: F) -> Option<IdleConnection<C>>
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -1,31 +1,34 @@
 //! The connections of one service, and the queues of requests that wait for them.
 
 use super::connection_limits::ConnectionLimits;
-use super::locality::Locality;
 use super::pace::ServerPace;
-use super::placement::{Candidate, choose_server};
+use super::primary_room::{primary_connection_limit, wait_for_replica};
 use super::requirement::ServerRequirement;
-use super::server_pool::{IdleConnection, ServerPool, pace_share};
-use crate::connection_state::{ConnectionState, SessionValues};
-use crate::{ClusterSnapshot, PrimaryView};
+use super::retry_times::RetryTimes;
+use super::server_pool::{ServerPool, pace_share};
+use crate::connection_state::SessionValues;
+use crate::{ClusterSnapshot, OverloadOrder, PrimaryView};
 use async_channel::Sender;
-use rand::Rng;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
-use wasabiyard_schedule::{AdmissionControl, FairQueue, QueuedRequest, RetryBudget};
+use wasabiyard_model::{LogPoint, PriorityClass, Time};
+use wasabiyard_schedule::{AdmissionControl, FairQueue, RetryBudget};
 use wasabiyard_session::{PositionSample, PositionSamples};
 
 /// Minimum time between two samples of the primary's log point, unless the term has increased.
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(40);
-/// Most reads that one assignment sets aside because all servers with room are in a region that they may not cross to.
-const MAX_SET_ASIDE: usize = 8;
 /// Time for which a server stays in use after it disappeared from the list. Entries of live servers expire while the
 /// store is unavailable.
 const UNLISTED_SERVER_GRACE: Duration = Duration::from_secs(3);
 
+/// Target latency of the most urgent route of a service whose routes have none.
+const DEFAULT_URGENT_TARGET: Duration = Duration::from_millis(200);
+/// Part of the most urgent target that a statement may wait at a server; the rest is for its execution, the way to the
+/// caller and the wait for a connection.
+const TOLERATED_PART: f64 = 0.25;
+
 /// A queued request for a connection, with the channel that takes the result.
 #[derive(Debug)]
 pub(super) struct Waiter<R> {
@@ -35,24 +38,6 @@
     pub(super) reply: Sender<R>,
 }
 
-/// Where the connection of a waiter comes from.
-#[derive(Debug)]
-pub(super) enum ConnectionSource<C> {
-    /// An idle connection of the pool.
-    Idle(IdleConnection<C>),
-    /// A new connection, which has to be opened.
-    Connect,
-}
-
-/// A waiter with the server that was chosen for it.
-#[derive(Debug)]
-pub(super) struct Assignment<C, R> {
-    pub(super) queued: QueuedRequest,
-    pub(super) waiter: Waiter<R>,
-    pub(super) server: Arc<str>,
-    pub(super) source: ConnectionSource<C>,
-}
-
 /// The two queues of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum QueueKind {
@@ -72,11 +57,17 @@
     /// Since when this instance has used no primary, `None` while it may use one.
     pub(super) unusable_since: Option<Time>,
     pub(super) limits: ConnectionLimits,
+    pub(super) overload_order: OverloadOrder,
+    /// How long a server may let the most urgent statements of the service wait.
+    pub(super) urgent_tolerance: Duration,
     pub(super) samples: PositionSamples,
-    primary_queue: FairQueue<Waiter<R>>,
-    read_queue: FairQueue<Waiter<R>>,
+    pub(super) primary_queue: FairQueue<Waiter<R>>,
+    pub(super) read_queue: FairQueue<Waiter<R>>,
     pub(super) primary_admission: AdmissionControl,
     pub(super) read_admission: AdmissionControl,
+    /// When callers that the queue of the primary or of the replicas refused come back.
+    primary_retry_times: RetryTimes,
+    read_retry_times: RetryTimes,
     /// Limits retries of statements that a server refused.
     pub(super) retries: RetryBudget,
     /// Servers that are no longer listed, with the time at which this was noticed.
@@ -93,11 +84,15 @@
             failover_since: None,
             unusable_since: None,
             limits: ConnectionLimits::per_instance(0, 1),
+            overload_order: OverloadOrder::default(),
+            urgent_tolerance: DEFAULT_URGENT_TARGET.mul_f64(TOLERATED_PART),
             samples: PositionSamples::default(),
             primary_queue: FairQueue::default(),
             read_queue: FairQueue::default(),
             primary_admission: AdmissionControl::default(),
             read_admission: AdmissionControl::default(),
+            primary_retry_times: RetryTimes::default(),
+            read_retry_times: RetryTimes::default(),
             retries: RetryBudget::default(),
             unlisted: BTreeMap::new(),
             accepting_servers: Vec::new(),
@@ -142,10 +137,13 @@
             }
         }
         self.remove_unlisted(snapshot, now);
-        let rule = snapshot
-            .configuration
-            .as_ref()
-            .and_then(|c| c.services.get(service));
+        let configuration = snapshot.configuration.as_ref();
+        self.overload_order = configuration.map_or_else(OverloadOrder::default, |c| c.overload_order);
+        let urgent_target = configuration.and_then(|c| c.urgent_target(service));
+        self.urgent_tolerance = urgent_target
+            .unwrap_or(DEFAULT_URGENT_TARGET)
+            .mul_f64(TOLERATED_PART);
+        let rule = configuration.and_then(|c| c.services.get(service));
         let server_limit = rule.map_or(0, |rule| rule.max_connections);
         self.limits = ConnectionLimits::per_instance(server_limit, snapshot.fleet_size());
         self.accepting_servers = self
@@ -227,11 +225,11 @@
             .is_some_and(|p| !p.is_unreachable(now))
     }
 
-    /// When the usable primary gets its next request after it refused one as overloaded; the start of time when it did
-    /// not, or when there is no usable primary.
-    pub(super) fn primary_pause_until(&self) -> Time {
+    /// When the usable primary gets its next request of a class after it refused one as overloaded; the start of time when
+    /// it did not, or when there is no usable primary.
+    pub(super) fn primary_pause_until(&self, class: PriorityClass) -> Time {
         let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
-        primary.map_or(Time::ZERO, |p| p.health.overload_pause_until())
+        primary.map_or(Time::ZERO, |p| p.overload_pause_until(class))
     }
 
     /// The queue for a request: that of the primary, unless a replica is expected to have reached the required log
@@ -241,12 +239,9 @@
             return QueueKind::Primary;
         };
         let reached = self.samples.first_reached_at(point);
-        let replica = self.accepting_servers.iter().any(|id| {
-            let pool = &self.servers[id];
-            !self.is_primary(id)
-                && !pool.is_unreachable(now)
-                && pool.lag.expects_point(pool.applied, point, reached, now)
-        });
+        let replica = self
+            .reachable_replicas(now)
+            .any(|pool| pool.lag.expects_point(pool.applied, point, reached, now));
         if replica {
             QueueKind::Reads
         } else {
@@ -254,6 +249,41 @@
         }
     }
 
+    /// When a request that would go to the queue of the primary goes to the replicas instead, because they are expected to
+    /// have its log point by then. `None` if it does not.
+    pub(super) fn replica_catch_up(
+        &self,
+        requirement: ServerRequirement,
+        wait_deadline: Time,
+        now: Time,
+    ) -> Option<Time> {
+        let ServerRequirement::AtLeast(point) = requirement else {
+            return None;
+        };
+        if self.overload_order == OverloadOrder::Shared {
+            return None;
+        }
+        let reached = self.samples.first_reached_at(point)?;
+        let expected = self
+            .reachable_replicas(now)
+            .map(|r| r.lag.expected_at(reached, now));
+        wait_for_replica(self.is_primary_strained(now), expected.min(), wait_deadline)
+    }
+
+    /// Whether the usable primary has refused work lately, or has let it wait for too long.
+    pub(super) fn is_primary_strained(&self, now: Time) -> bool {
+        let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
+        primary.is_some_and(|p| p.yielding.is_strained(now))
+    }
+
+    /// Servers besides the primary that may get new work and have not become unreachable.
+    fn reachable_replicas(&self, now: Time) -> impl Iterator<Item = &ServerPool<C>> {
+        let replicas = self.accepting_servers.iter().filter(|id| !self.is_primary(id));
+        replicas
+            .map(|id| &self.servers[id])
+            .filter(move |pool| !pool.is_unreachable(now))
+    }
+
     pub(super) fn queue(&mut self, queue_kind: QueueKind) -> &mut FairQueue<Waiter<R>> {
         match queue_kind {
             QueueKind::Primary => &mut self.primary_queue,
@@ -268,150 +298,63 @@
         }
     }
 
-    /// Number of connections of this instance that can serve a queue.
-    pub(super) fn connection_capacity(&self, queue_kind: QueueKind) -> usize {
-        let servers = match queue_kind {
-            QueueKind::Primary => 1,
-            QueueKind::Reads => self.accepting_servers.len().max(1),
-        };
-        servers * self.limits.max_open as usize
-    }
-
-    /// Removes the next waiter for which a server is available from its queue. The primary's queue goes first.
-    pub(super) fn next_assignment<G>(
-        &mut self,
-        locality: &Locality<'_>,
-        now: Time,
-        rng: &mut G,
-    ) -> Option<Assignment<C, R>>
-    where
-        G: Rng,
-    {
-        self.next_primary_assignment(now)
-            .or_else(|| self.next_read_assignment(locality, now, rng))
-    }
-
-    fn next_primary_assignment(&mut self, now: Time) -> Option<Assignment<C, R>> {
-        let (id, _) = self.usable_primary()?;
-        let id = Arc::clone(id);
-        // The primary is not checked for draining or for a failure domain out of service: it gets writes until the
-        // primary record says that it is being replaced.
-        let pool = self.servers.get(&id)?;
-        if !pool.available(self.limits.max_open, now) {
-            return None;
-        }
-        let (queued, waiter) = self.primary_queue.pop(now)?;
-        Some(self.assign(queued, waiter, id, now))
-    }
-
-    fn next_read_assignment<G>(
-        &mut self,
-        locality: &Locality<'_>,
+    /// Number of connections of this instance that can serve a class of a queue.
+    pub(super) fn connection_capacity(
+        &self,
+        queue_kind: QueueKind,
+        class: PriorityClass,
         now: Time,
-        rng: &mut G,
-    ) -> Option<Assignment<C, R>>
-    where
-        G: Rng,
-    {
-        if self.read_queue.is_empty() || !self.any_available(now) {
-            return None;
-        }
-        let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
-        let mut set_aside = Vec::new();
-        let mut assignment = None;
-        while assignment.is_none()
-            && set_aside.len() < MAX_SET_ASIDE
-            && let Some((queued, waiter)) = self.read_queue.pop(now)
-        {
-            let candidates: Vec<_> = ids
-                .iter()
-                .map(|id| self.candidate(id, &queued, &waiter, locality, now))
-                .collect();
-            match choose_server(&candidates, rng) {
-                Some(chosen) => {
-                    assignment = Some(self.assign(queued, waiter, Arc::clone(&ids[chosen]), now));
-                }
-                None => set_aside.push((queued, waiter)),
+    ) -> usize {
+        let max_open = self.limits.max_open;
+        match (self.overload_order, queue_kind) {
+            (OverloadOrder::Shared, QueueKind::Primary) => max_open as usize,
+            (OverloadOrder::Shared, QueueKind::Reads) => {
+                self.accepting_servers.len().max(1) * max_open as usize
+            }
+            (OverloadOrder::ByRank, QueueKind::Primary) => {
+                let primary = self.usable_primary().and_then(|(id, _)| self.servers.get(id));
+                let limit = primary_connection_limit(class, max_open);
+                primary.map_or(limit, |p| p.yielding.limit_connections(class, limit)) as usize
+            }
+            (OverloadOrder::ByRank, QueueKind::Reads) => {
+                let servers = self.read_servers(class, now).map(|id| &self.servers[id]);
+                let limits = servers.map(|pool| pool.yielding.limit_connections(class, max_open) as usize);
+                limits.sum::<usize>().max(1)
             }
         }
-        for (queued, waiter) in set_aside {
-            // A refused push means that the time of the request is over, which it learns from its closed channel.
-            drop(self.read_queue.push(queued, waiter, now));
-        }
-        assignment
-    }
-
-    /// Servers for queued reads. The primary is left out while requests wait in its own queue.
-    pub(super) fn read_servers(&self) -> impl Iterator<Item = &Arc<str>> {
-        let primary_has_waiters = !self.primary_queue.is_empty();
-        self.accepting_servers
-            .iter()
-            .filter(move |id| !primary_has_waiters || !self.is_primary(id))
-    }
-
-    fn any_available(&self, now: Time) -> bool {
-        self.read_servers()
-            .any(|id| self.servers[id].available(self.limits.max_open, now))
     }
 
-    fn candidate(
-        &self,
-        id: &Arc<str>,
-        queued: &QueuedRequest,
-        waiter: &Waiter<R>,
-        locality: &Locality<'_>,
-        now: Time,
-    ) -> Candidate {
-        let pool = &self.servers[id];
-        let primary = self.is_primary(id);
-        let holds_point = match waiter.requirement {
-            ServerRequirement::Primary => primary,
-            ServerRequirement::AtLeast(point) => {
-                let reached = self.samples.first_reached_at(point);
-                primary || pool.lag.expects_point(pool.applied, point, reached, now)
+    /// When the first server of a queue gets its next request of a class, after pauses; the start of time if one may get
+    /// it now. Pauses of replicas count only where each class has its own.
+    pub(super) fn pause_until(&self, queue_kind: QueueKind, class: PriorityClass, now: Time) -> Time {
+        match (queue_kind, self.overload_order) {
+            (QueueKind::Primary, _) => self.primary_pause_until(class),
+            (QueueKind::Reads, OverloadOrder::Shared) => Time::ZERO,
+            (QueueKind::Reads, OverloadOrder::ByRank) => {
+                let servers = self.read_servers(class, now).map(|id| &self.servers[id]);
+                let pauses = servers
+                    .filter(|pool| !pool.is_unreachable(now))
+                    .map(|pool| pool.overload_pause_until(class));
+                pauses.min().unwrap_or(Time::ZERO)
             }
-        };
-        Candidate {
-            primary,
-            local: *pool.server.domain == *locality.domain,
-            distance: locality.distance(&pool.server.domain, now),
-            latency: pool.latency.estimate(),
-            running: pool.in_use,
-            has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
-            available: pool.available(self.limits.max_open, now)
-                && locality.may_reach(&pool.server.domain, queued.class, now),
-            holds_point,
         }
     }
 
-    fn assign(
+    /// The time to come back for a caller that is refused, when its request could start `after` now. Later refusals within
+    /// one pause get later times, where the classes are ordered by rank.
+    pub(super) fn retry_after(
         &mut self,
-        queued: QueuedRequest,
-        waiter: Waiter<R>,
-        server: Arc<str>,
+        queue_kind: QueueKind,
+        class: PriorityClass,
+        after: Duration,
         now: Time,
-    ) -> Assignment<C, R> {
-        let limit = self.limits.max_open;
-        let pool = self.servers.get_mut(&server).expect("a known server");
-        let values = &waiter.values;
-        let adjustment_cost = |connection_state: &ConnectionState| {
-            let adjustment = connection_state.adjustment(values);
-            adjustment.set.len() + usize::from(adjustment.reset)
+    ) -> Duration {
+        let retry_times = match (self.overload_order, queue_kind) {
+            (OverloadOrder::Shared, _) => return after,
+            (OverloadOrder::ByRank, QueueKind::Primary) => &mut self.primary_retry_times,
+            (OverloadOrder::ByRank, QueueKind::Reads) => &mut self.read_retry_times,
         };
-        let source = if let Some(idle) = pool.take_idle(&waiter.organisation, adjustment_cost) {
-            ConnectionSource::Idle(idle)
-        } else {
-            while pool.open_connections() >= limit && pool.evict() {}
-            ConnectionSource::Connect
-        };
-        pool.in_use += 1;
-        pool.pace.on_sent(now);
-        Assignment {
-            queued,
-            waiter,
-            server,
-            source,
-        }
+        retry_times.next(class, now + after, now)
     }
 
     /// Records the log point that the primary had when it answered a statement sent at `requested_at`.
--- a/crates/gateway/src/traffic/service_reach.rs
+++ b/crates/gateway/src/traffic/service_reach.rs
@@ -7,13 +7,19 @@
 
 impl<C, R> ServicePool<C, R> {
     /// When the pace of the servers lets a request start that comes after `ahead` others of its queue.
-    pub(super) fn paced_turn(&self, queue_kind: QueueKind, ahead: usize, now: Time) -> Time {
+    pub(super) fn paced_turn(
+        &self,
+        queue_kind: QueueKind,
+        class: PriorityClass,
+        ahead: usize,
+        now: Time,
+    ) -> Time {
         let turn = |id: &Arc<str>, ahead| self.servers.get(id).map(|p| p.pace.turn(ahead, now));
         let turn = match queue_kind {
             QueueKind::Primary => self.usable_primary().and_then(|(id, _)| turn(id, ahead)),
             QueueKind::Reads => {
-                let servers = self.read_servers().count().max(1);
-                self.read_servers()
+                let servers = self.read_servers(class, now).count().max(1);
+                self.read_servers(class, now)
                     .filter_map(|id| turn(id, ahead / servers))
                     .min()
             }
--- a/crates/gateway/src/traffic/transaction.rs
+++ b/crates/gateway/src/traffic/transaction.rs
@@ -29,6 +29,8 @@
         wrote: bool,
         /// Counts the transaction with its first statement.
         operation: Box<OperationCount>,
+        /// Whether a statement of the transaction has run.
+        has_run: bool,
         /// The route in force at its start.
         route: Arc<RouteRule>,
     },
