Test the decisions and links of shared connections, and refuse by view and epoch

A holder that is cut off from the store or knows an older epoch than the requester now counts as unusable for that server, so its substitute is tried; it answered "no primary" before. Its own callers are served while it stops.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -282,7 +282,8 @@
             HeldLeaseResult::Idle => "idle",
             HeldLeaseResult::Opened => "opened",
         };
-        self.held_leases.add(1, &[service, KeyValue::new("result", result)]);
+        self.held_leases
+            .add(1, &[service, KeyValue::new("result", result)]);
     }
 
     /// Records that new work was let through to a held server after `waited`.
--- a/crates/gateway/src/sharing/connection_sharing.rs
+++ b/crates/gateway/src/sharing/connection_sharing.rs
@@ -84,7 +84,7 @@
     /// # Errors
     ///
     /// When the port cannot be opened.
-    pub(crate) fn listen(self: &Rc<Self>, address: SocketAddr, server: Rc<dyn LeaseServer>) -> io::Result<()> {
+    pub fn listen(self: &Rc<Self>, address: SocketAddr, server: Rc<dyn LeaseServer>) -> io::Result<()> {
         if !self.rule.enabled {
             return Ok(());
         }
@@ -113,7 +113,12 @@
         let Some(configuration) = &snapshot.configuration else {
             return BTreeMap::new();
         };
-        let limit_of = |service: &Arc<str>| configuration.services.get(service).map_or(0, |r| r.max_connections);
+        let limit_of = |service: &Arc<str>| {
+            configuration
+                .services
+                .get(service)
+                .map_or(0, |r| r.max_connections)
+        };
         let shared: BTreeSet<_> = snapshot
             .servers
             .values()
@@ -144,7 +149,7 @@
 
     /// A connection through `holder`, which is opened with its first command. `None` when the holder's address or the
     /// fleet's secret is unknown.
-    pub(crate) fn connect(
+    pub fn connect(
         self: &Rc<Self>,
         holder: &InstanceId,
         spec: LeaseSpec,
@@ -174,7 +179,10 @@
         };
         let (link, task) = OutgoingLink::open(target, Rc::clone(self));
         self.executor.spawn(task).detach();
-        let known = self.outgoing.borrow_mut().insert(holder.clone(), Rc::clone(&link));
+        let known = self
+            .outgoing
+            .borrow_mut()
+            .insert(holder.clone(), Rc::clone(&link));
         drop(known);
         Some(link)
     }
@@ -241,7 +249,7 @@
     }
 
     /// Ends the incoming links and their leases.
-    pub(crate) fn end_links(&self) {
+    pub fn end_links(&self) {
         self.stop_incoming.borrow().0.close();
     }
 
--- a/crates/gateway/src/sharing/holder.rs
+++ b/crates/gateway/src/sharing/holder.rs
@@ -72,7 +72,10 @@
     servers: &BTreeSet<SharedServer>,
     instances: &[ListedInstance],
 ) -> BTreeMap<Arc<str>, HolderPair> {
-    let live: Vec<_> = instances.iter().filter(|i| i.state == ListedState::Live).collect();
+    let live: Vec<_> = instances
+        .iter()
+        .filter(|i| i.state == ListedState::Live)
+        .collect();
     let mut holding: BTreeSet<&InstanceId> = BTreeSet::new();
     let mut assigned = BTreeMap::new();
     for server in servers {
--- a/crates/gateway/src/sharing/incoming_link.rs
+++ b/crates/gateway/src/sharing/incoming_link.rs
@@ -22,25 +22,31 @@
 
 /// A command with the time until which its answer is of use.
 #[derive(Debug)]
-pub(crate) struct TimedCommand {
-    pub(crate) command: RelayedCommand,
-    pub(crate) deadline: Time,
+pub struct TimedCommand {
+    /// The command.
+    pub command: RelayedCommand,
+    /// When it must no longer be sent to the server.
+    pub deadline: Time,
 }
 
 /// A lease that an instance asks for.
 #[derive(Debug)]
-pub(crate) struct LeaseOpening {
-    pub(crate) spec: LeaseSpec,
-    pub(crate) command: Option<RelayedCommand>,
-    pub(crate) deadline: Time,
+pub struct LeaseOpening {
+    /// What the lease is for.
+    pub spec: LeaseSpec,
+    /// The first command; `None` to reserve a connection and an execution slot.
+    pub command: Option<RelayedCommand>,
+    /// When the first command must no longer be sent to the server.
+    pub deadline: Time,
     /// Later commands; closed when the instance ends the lease or its link is lost.
-    pub(crate) commands: Receiver<TimedCommand>,
-    pub(crate) replies: ReplySink,
+    pub commands: Receiver<TimedCommand>,
+    /// Where the replies go.
+    pub replies: ReplySink,
 }
 
 /// Where the replies to a lease go.
 #[derive(Debug)]
-pub(crate) enum ReplySink {
+pub enum ReplySink {
     /// To another instance.
     Link(Rc<IncomingLink>, LeaseNumber),
     /// To a caller of this instance.
@@ -48,7 +54,8 @@
 }
 
 impl ReplySink {
-    pub(crate) fn send(&self, reply: Reply) {
+    /// Sends a reply. It is dropped if nobody waits for it any more.
+    pub fn send(&self, reply: Reply) {
         match self {
             Self::Link(link, lease) => link.reply(*lease, reply),
             // A caller that has given up needs no reply.
@@ -67,7 +74,7 @@
 
 /// State of a link that its tasks and its leases share.
 #[derive(Debug)]
-pub(crate) struct IncomingLink {
+pub struct IncomingLink {
     responses: Sender<Response>,
     leases: RefCell<HashMap<LeaseNumber, Sender<TimedCommand>>>,
     received: Cell<u64>,
--- a/crates/gateway/src/sharing/lease_server.rs
+++ b/crates/gateway/src/sharing/lease_server.rs
@@ -7,7 +7,7 @@
 use wasabiyard_model::Time;
 
 /// Serves leases of the connections that this instance holds.
-pub(crate) trait LeaseServer: Debug {
+pub trait LeaseServer: Debug {
     /// Starts a task that serves a lease until it ends.
     fn serve_lease(self: Rc<Self>, opening: LeaseOpening);
 
@@ -17,7 +17,7 @@
 
 /// Permission to send one statement, or to open a connection, to a server. Dropping it lets the next work through.
 #[derive(Debug)]
-pub(crate) struct GatePass {
+pub struct GatePass {
     server: Rc<dyn LeaseServer>,
     service_name: Arc<str>,
     server_id: Arc<str>,
@@ -25,7 +25,8 @@
 }
 
 impl GatePass {
-    pub(crate) const fn new(
+    /// Permission for work that `server` let through to the server `server_id` at `started`.
+    pub const fn new(
         server: Rc<dyn LeaseServer>,
         service_name: Arc<str>,
         server_id: Arc<str>,
--- a/crates/gateway/src/sharing/link_socket.rs
+++ b/crates/gateway/src/sharing/link_socket.rs
@@ -243,7 +243,10 @@
 }
 
 async fn send_bytes(socket: &mut Socket, bytes: Vec<u8>) -> Result<(), LinkError> {
-    Ok(socket.send(Message::Binary(bytes.into())).await.map_err(Box::new)?)
+    Ok(socket
+        .send(Message::Binary(bytes.into()))
+        .await
+        .map_err(Box::new)?)
 }
 
 async fn receive_bytes(socket: &mut Socket) -> Result<Vec<u8>, LinkError> {
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -28,8 +28,8 @@
     Response, Timing,
 };
 pub use holder::{DEFAULT_MIN_INSTANCES, HolderPair, SharedServer, SharingRule, assign_holders};
-pub(crate) use incoming_link::{LeaseOpening, ReplySink, TimedCommand};
-pub(crate) use lease_server::{GatePass, LeaseServer};
+pub use incoming_link::{IncomingLink, LeaseOpening, ReplySink, TimedCommand};
+pub use lease_server::{GatePass, LeaseServer};
 pub use link_socket::{LatenessClock, LinkError};
 pub use relay_route::RelayRoute;
 pub use relayed_connection::{NotSent, RelayError, RelayedConnection};
--- a/crates/gateway/src/sharing/outgoing_link.rs
+++ b/crates/gateway/src/sharing/outgoing_link.rs
@@ -68,7 +68,9 @@
             // Whoever waits sees its channel closed.
             shared.waiting.borrow_mut().clear();
             match result {
-                LinkError::Closed => log::debug!(holder:% = target.peer; "link to a connection holder closed"),
+                LinkError::Closed => {
+                    log::debug!(holder:% = target.peer; "link to a connection holder closed");
+                }
                 e => log::info!(holder:% = target.peer, error:% = e; "link to a connection holder lost"),
             }
         };
@@ -116,12 +118,7 @@
     }
 }
 
-async fn run<E>(
-    target: &LinkTarget,
-    shared: &LinkState,
-    queue: Receiver<Request>,
-    events: &E,
-) -> LinkError
+async fn run<E>(target: &LinkTarget, shared: &LinkState, queue: Receiver<Request>, events: &E) -> LinkError
 where
     E: LinkEvents,
 {
--- a/crates/gateway/src/sharing/relayed_connection.rs
+++ b/crates/gateway/src/sharing/relayed_connection.rs
@@ -4,13 +4,14 @@
 use super::frames::{Failure, LeaseNumber, LeaseSpec, Refusal, RelayedCommand, Reply, Request, Timing};
 use super::incoming_link::{LeaseOpening, ReplySink, TimedCommand};
 use super::lease_server::LeaseServer;
-use super::outgoing_link::OutgoingLink;
+use super::outgoing_link::{LinkEvents, OutgoingLink};
 use super::suspects::Suspicion;
 use crate::{Answer, Command, ConnectionError, SessionValues, TransactionStatus, clock};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::InstanceId;
 
@@ -90,7 +91,13 @@
 impl RelayedConnection {
     pub(super) fn over_link(sharing: Rc<ConnectionSharing>, link: Rc<OutgoingLink>, spec: LeaseSpec) -> Self {
         let (lease, replies) = link.add_lease();
-        Self::new(sharing, link.peer.clone(), Path::Link { link, lease }, spec, replies)
+        Self::new(
+            sharing,
+            link.peer.clone(),
+            Path::Link { link, lease },
+            spec,
+            replies,
+        )
     }
 
     pub(super) fn local(
@@ -151,7 +158,11 @@
 
     /// Sets the session values that the connection must have. The holder sets them before the first command.
     pub fn set_values(&mut self, values: &SessionValues) {
-        assert_eq!(self.state, State::Unopened, "the lease was opened with other values");
+        assert_eq!(
+            self.state,
+            State::Unopened,
+            "the lease was opened with other values"
+        );
         self.spec.values.clone_from(values);
     }
 
@@ -235,7 +246,10 @@
             }
             Refusal::NotInService => self.suspect_as_holder("not_in_service"),
             Refusal::ServerUnreachable => self.suspect_as_holder("holder_without_server"),
-            Refusal::Leaving => self.suspect("holder_leaving"),
+            Refusal::Leaving => {
+                self.sharing.on_leaving(&self.holder);
+                NotSent::NoHolder("holder_leaving")
+            }
         }
     }
 
@@ -363,7 +377,7 @@
         if !self.is_local() {
             let suspicion = Suspicion {
                 instance: self.holder.clone(),
-                server: Some(self.spec.server.clone()),
+                server: Some(Arc::clone(&self.spec.server)),
             };
             self.sharing.on_suspicion(suspicion, cause);
         }
--- a/crates/gateway/src/sharing/suspects.rs
+++ b/crates/gateway/src/sharing/suspects.rs
@@ -101,7 +101,8 @@
     where
         F: Fn(&InstanceId) -> bool,
     {
-        self.entries.retain(|suspicion, _| is_registered(&suspicion.instance));
+        self.entries
+            .retain(|suspicion, _| is_registered(&suspicion.instance));
     }
 }
 
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -72,9 +72,7 @@
             return Err(LeaseError::Connection(ConnectionError::Closed));
         };
         let answer = {
-            let run = async {
-                conn.run(cmd, in_transaction, timeout).await
-            };
+            let run = async { conn.run(cmd, in_transaction, timeout).await };
             let revoked = async {
                 // The channel carries no messages; it is closed when the lease is revoked.
                 let _closed = self.revoked.recv().await;
--- a/crates/gateway/src/traffic/held_server.rs
+++ b/crates/gateway/src/traffic/held_server.rs
@@ -39,9 +39,6 @@
 {
     /// Whether a lease may be served now. Checked again when its connection is ready.
     pub(super) fn check_held(&self, spec: &LeaseSpec, now: Time) -> Result<(), Refusal> {
-        if self.sharing.get().is_some_and(|s| s.is_leaving()) {
-            return Err(Refusal::Leaving);
-        }
         let services = self.services.borrow();
         let Some(pool) = services.get(&spec.service) else {
             return Err(Refusal::NotInService);
@@ -52,10 +49,13 @@
         };
         let snapshot = self.snapshot.borrow();
         if let Some(epoch) = spec.epoch {
-            let is_primary = pool.usable_primary() == Some((&spec.server, epoch));
-            let view = snapshot.primary(&spec.service, now);
-            if !is_primary || !matches!(view, PrimaryView::Usable { epoch: e, .. } if e == epoch) {
-                return Err(Refusal::NotPrimary);
+            let known_epoch = snapshot.primaries.get(&spec.service).map_or(0, |r| r.epoch);
+            match snapshot.primary(&spec.service, now) {
+                PrimaryView::Usable { .. } if pool.usable_primary() == Some((&spec.server, epoch)) => {}
+                // Another instance may know more.
+                PrimaryView::Stale | PrimaryView::Unknown => return Err(Refusal::NotInService),
+                _ if known_epoch < epoch => return Err(Refusal::NotInService),
+                _ => return Err(Refusal::NotPrimary),
             }
         } else if !snapshot.accepts_new_work(&server.server) {
             return Err(Refusal::NotInService);
@@ -80,10 +80,13 @@
                 class: spec.class,
                 deadline,
             };
-            let pass = self.enter_gate(&spec.service, &spec.server, Some(&work), deadline).await;
+            let pass = self
+                .enter_gate(&spec.service, &spec.server, Some(&work), deadline)
+                .await;
             let pass = pass?;
             let now = clock::now();
-            self.metrics.on_gate_wait(&spec.service, now.saturating_since(arrived));
+            self.metrics
+                .on_gate_wait(&spec.service, now.saturating_since(arrived));
             match self.held_connection(spec).await {
                 Ok(lease) => {
                     // The wait may have been long.
@@ -143,7 +146,10 @@
             let mut next = None;
             self.with_server(service, server, |s| {
                 dropped = s.gate.take_dropped(now);
-                refusal.retry_after = s.gate.expected_wait(s.server.capacity, now).max(refusal.retry_after);
+                refusal.retry_after = s
+                    .gate
+                    .expected_wait(s.server.capacity, now)
+                    .max(refusal.retry_after);
                 if s.is_failing(now) {
                     s.gate.drop_new();
                 }
@@ -252,7 +258,9 @@
     }
 
     fn forget_held_connection(&self, spec: &LeaseSpec) {
-        self.with_server(&spec.service, &spec.server, |s| s.in_use = s.in_use.saturating_sub(1));
+        self.with_server(&spec.service, &spec.server, |s| {
+            s.in_use = s.in_use.saturating_sub(1);
+        });
     }
 
     async fn connect_held(self: &Rc<Self>, spec: &LeaseSpec) -> Result<ConnectionLease<C>, NoConnection> {
@@ -288,7 +296,8 @@
                     s.health.on_connected();
                 });
                 reservation.kept = true;
-                let lease = self.new_held_lease(spec, OrderedConnection::new(conn), ConnectionState::default());
+                let lease =
+                    self.new_held_lease(spec, OrderedConnection::new(conn), ConnectionState::default());
                 lease.ok_or(NoConnection::Refused(Refusal::NotInService))
             }
             Some(Ok(ConnectOutcome::Full)) => {
@@ -349,7 +358,8 @@
         let state = ServerState {
             slots: self.server.capacity,
             allows_request: self.health.allows_request(self.gate.running(), now),
-            has_connection: self.in_use < max_open && (!self.idle.is_empty() || self.health.allows_connect(now)),
+            has_connection: self.in_use < max_open
+                && (!self.idle.is_empty() || self.health.allows_connect(now)),
         };
         self.gate.start_next(state, now)
     }
--- a/crates/gateway/src/traffic/lease_task.rs
+++ b/crates/gateway/src/traffic/lease_task.rs
@@ -64,7 +64,12 @@
 {
     fn serve_lease(self: Rc<Self>, opening: LeaseOpening) {
         let is_local = matches!(opening.replies, ReplySink::Local(_));
-        let served = self.sharing.get().filter(|_| !is_local).map(ServedLease::new);
+        let others = self.sharing.get().filter(|_| !is_local);
+        if others.is_some_and(|s| s.is_leaving()) {
+            opening.replies.send(Reply::Refused(Refusal::Leaving));
+            return;
+        }
+        let served = others.map(ServedLease::new);
         let executor = Rc::clone(&self.executor);
         let mut task = LeaseTask {
             pool: self,
@@ -98,19 +103,19 @@
 {
     async fn serve(&mut self, command: Option<RelayedCommand>, deadline: Time) -> Result<(), End> {
         let arrived = clock::now();
-        let acquired = self.until_closed(self.pool.acquire_held(&self.spec, deadline)).await?;
+        let acquired = self
+            .until_closed(self.pool.acquire_held(&self.spec, deadline))
+            .await?;
         let (mut lease, pass) = acquired?;
         self.queued = clock::now().saturating_since(arrived);
-        let answer = match command {
-            Some(command) => {
-                // The first statement of a lease that was not reserved is a read.
-                self.execute(&mut lease, &command, deadline, true).await?
-            }
-            None => {
-                self.replies.send(Reply::Granted);
-                let next = self.next_command(&lease, RESERVATION_TIME).await?;
-                self.execute(&mut lease, &next.command, next.deadline, false).await?
-            }
+        let answer = if let Some(command) = command {
+            // The first statement of a lease that was not reserved is a read.
+            self.execute(&mut lease, &command, deadline, true).await?
+        } else {
+            self.replies.send(Reply::Granted);
+            let next = self.next_command(&lease, RESERVATION_TIME).await?;
+            self.execute(&mut lease, &next.command, next.deadline, false)
+                .await?
         };
         drop(pass);
         self.answer(lease, answer).await
@@ -182,7 +187,8 @@
         if now >= deadline {
             return Err(Refusal::Overloaded { retry_after_ms: 20 }.into());
         }
-        if !lease.is_valid(now) || (!lease.in_transaction && self.spec.epoch.is_some() && !lease.is_of_current_primary(now))
+        if !lease.is_valid(now)
+            || (!lease.in_transaction && self.spec.epoch.is_some() && !lease.is_of_current_primary(now))
         {
             return Err(Refusal::NotPrimary.into());
         }
--- a/crates/gateway/src/traffic/leased_connection.rs
+++ b/crates/gateway/src/traffic/leased_connection.rs
@@ -1,7 +1,7 @@
 //! The connection of a lease: one of this instance, or one that a connection holder keeps.
 
-use super::ordered_connection::OrderedConnection;
 use super::connection_lease::LeaseError;
+use super::ordered_connection::OrderedConnection;
 use crate::sharing::{RelayError, RelayedConnection};
 use crate::{Answer, Command, ConnectionError, ServerConnection, SessionValues};
 use std::time::Duration;
--- a/crates/gateway/src/traffic/mod.rs
+++ b/crates/gateway/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod held_server;
 mod lease_task;
 mod leased_connection;
+mod not_sent_retries;
 mod operation_rate_limiter;
 mod ordered_connection;
 mod placement;
--- a/crates/gateway/src/traffic/refusal.rs
+++ b/crates/gateway/src/traffic/refusal.rs
@@ -2,8 +2,8 @@
 
 use super::connection_lease::{ConnectionLease, LeaseError};
 use super::pool::PoolError;
-use crate::{Answer, CallerError, ConnectionError, Connector, Request, TransactionStatus, event_log};
 use crate::sharing::NotSent;
+use crate::{Answer, CallerError, ConnectionError, Connector, Request, TransactionStatus, event_log};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -79,8 +79,15 @@
         LeaseError::Connection(ConnectionError::OutOfOrder) => "out_of_order",
         LeaseError::Connection(_) => "connection_lost",
         LeaseError::Revoked => "primary_moved",
-        LeaseError::NotSent(NotSent::Overloaded { .. }) => "overloaded",
-        LeaseError::NotSent(NotSent::NotPrimary) => "primary_moved",
-        LeaseError::NotSent(NotSent::NoHolder(cause)) => cause,
+        LeaseError::NotSent(not_sent) => not_sent_cause(*not_sent),
+    }
+}
+
+/// The same for a command that the connection holder did not send.
+pub(super) const fn not_sent_cause(not_sent: NotSent) -> &'static str {
+    match not_sent {
+        NotSent::Overloaded { .. } => "overloaded",
+        NotSent::NotPrimary => "primary_moved",
+        NotSent::NoHolder(cause) => cause,
     }
 }
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -6,7 +6,8 @@
 use super::pool_queue::deliver_lease;
 use super::server_pool::HeldLimits;
 use super::service_pool::Waiter;
-use crate::sharing::{LeaseServer, LeaseSpec};
+use crate::connection_state::ConnectionState;
+use crate::sharing::{LeaseServer, LeaseSpec, RelayRoute};
 use crate::{ClusterSnapshot, Connector, clock};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -33,30 +34,27 @@
         let holders = sharing.holders(snapshot);
         let mut services = self.services.borrow_mut();
         for server in services.values_mut().flat_map(|s| s.servers.values_mut()) {
-            let held_before = server.relay.as_ref().is_some_and(|r| r.is_holder());
+            let held_before = server.relay.as_ref().is_some_and(RelayRoute::is_holder);
             let id = Arc::clone(&server.server.id);
-            match holders.get(&id) {
-                Some((pair, limit)) => {
-                    let unchanged = server.relay.as_ref().is_some_and(|r| r.holders() == pair);
-                    if !unchanged {
-                        server.relay = Some(sharing.route(&id, pair.clone()));
-                    }
-                    let is_holder = server.relay.as_ref().is_some_and(|r| r.is_holder());
-                    server.held_limits = Some(HeldLimits {
-                        max_open: ((f64::from(*limit) * HOLDER_FRACTION) as u32).max(1),
-                        idle_timeout: if is_holder {
-                            HOLDER_IDLE_TIMEOUT
-                        } else {
-                            SUBSTITUTE_IDLE_TIMEOUT
-                        },
-                    });
-                }
-                None => {
-                    server.relay = None;
-                    server.held_limits = None;
+            if let Some((pair, limit)) = holders.get(&id) {
+                let unchanged = server.relay.as_ref().is_some_and(|r| r.holders() == pair);
+                if !unchanged {
+                    server.relay = Some(sharing.route(&id, pair.clone()));
                 }
+                let is_holder = server.relay.as_ref().is_some_and(RelayRoute::is_holder);
+                server.held_limits = Some(HeldLimits {
+                    max_open: ((f64::from(*limit) * HOLDER_FRACTION) as u32).max(1),
+                    idle_timeout: if is_holder {
+                        HOLDER_IDLE_TIMEOUT
+                    } else {
+                        SUBSTITUTE_IDLE_TIMEOUT
+                    },
+                });
+            } else {
+                server.relay = None;
+                server.held_limits = None;
             }
-            let holds_now = server.relay.as_ref().is_some_and(|r| r.is_holder());
+            let holds_now = server.relay.as_ref().is_some_and(RelayRoute::is_holder);
             if holds_now != held_before {
                 log::info!(server:% = id, holder = holds_now; "connection holder of a backend server changed");
             }
@@ -106,7 +104,14 @@
         let lease_server: Rc<dyn LeaseServer> = Rc::clone(self) as Rc<dyn LeaseServer>;
         let conn = sharing.connect(holder, spec, lease_server)?;
         let conn = LeasedConnection::Relayed(Box::new(conn));
-        let lease = self.new_lease(service, server, organisation, conn, Default::default(), now)?;
+        let lease = self.new_lease(
+            service,
+            server,
+            organisation,
+            conn,
+            ConnectionState::default(),
+            now,
+        )?;
         self.with_server(service, server, |s| s.relayed += 1);
         Some(lease)
     }
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -3,14 +3,14 @@
 use super::access::ANONYMOUS_ORGANISATION;
 use super::backend_statement::BackendStatement;
 use super::connection_lease::{ConnectionLease, LeaseError};
+use super::not_sent_retries::{NextAttempt, NotSentRetries};
 use super::pool_queue::LeaseRequest;
 use super::refusal::{
-    Refusal, lease_error_cause, lease_error_detail, log_unanswered, mask_server_error, not_sent_refusal,
-    pool_refusal,
+    Refusal, lease_error_cause, lease_error_detail, log_unanswered, mask_server_error, not_sent_cause,
+    not_sent_refusal, pool_refusal,
 };
 use super::requirement::{ServerRequirement, required_point};
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
-use crate::sharing::NotSent;
 use crate::{
     Answer, CallerError, ConnectionError, Connector, Freshness, PreparedStatement, Request, RouteRule,
     TransactionStatus, clock, event_log,
@@ -60,6 +60,7 @@
         let deadline = received_at + route.timeout.saturating_sub(ANSWER_MARGIN);
         let mut primary_only = stmt.writes;
         let mut read_failures = 0;
+        let mut not_sent_retries = NotSentRetries::default();
         let mut backoff = RETRY_DELAY;
         self.cx.pool.on_first_attempt(&route.service);
         loop {
@@ -76,23 +77,7 @@
                 Ok(ready) => ready,
                 Err((error, detail)) => return Answer::error(error, detail, TransactionStatus::Idle),
             };
-            let now = clock::now();
-            let remaining = deadline.saturating_since(now);
-            let timeout = if stmt.writes {
-                remaining
-            } else {
-                self.read_timeout(&lease, remaining)
-            };
-            let reserved = if stmt.writes {
-                lease.reserve(timeout).await
-            } else {
-                Ok(())
-            };
-            let timeout = timeout.min(deadline.saturating_since(clock::now()));
-            let result = match reserved {
-                Ok(()) => lease.run(stmt.command(req, at_least), timeout).await,
-                Err(e) => Err(e),
-            };
+            let result = self.send(&mut lease, req, stmt, at_least, deadline).await;
             let now = clock::now();
             let expired = now + RETRY_DELAY >= deadline;
             match result {
@@ -147,31 +132,17 @@
                     Some(error) => return mask_server_error(answer, error),
                 },
                 Err(LeaseError::NotSent(not_sent)) => {
-                    self.on_retry(req, route, &lease, lease_error_cause(&LeaseError::NotSent(not_sent)));
-                    drop(lease);
-                    match not_sent {
-                        // Other servers of the service may have room for a read.
-                        NotSent::Overloaded { .. } if !primary_only && read_failures == 0 && !expired => {
-                            read_failures += 1;
-                        }
-                        _ if expired || matches!(not_sent, NotSent::Overloaded { .. }) => {
-                            let (error, detail) = not_sent_refusal(not_sent);
-                            return Answer::error(error, detail, TransactionStatus::Idle);
-                        }
-                        NotSent::NotPrimary => {
-                            Timer::after(RETRY_DELAY).await;
-                        }
-                        NotSent::Overloaded { .. } | NotSent::NoHolder(_) => {}
+                    let elsewhere = requirement != ServerRequirement::Primary;
+                    let next = not_sent_retries.next(not_sent, elsewhere, expired);
+                    if next == NextAttempt::Refuse {
+                        let (error, detail) = not_sent_refusal(not_sent);
+                        return Answer::error(error, detail, TransactionStatus::Idle);
                     }
+                    self.on_retry(req, route, &lease, not_sent_cause(not_sent));
+                    drop(lease);
+                    next.due().await;
                 }
-                Err(e) if stmt.writes => {
-                    log_unanswered(req, &lease, &e);
-                    let error = match e {
-                        LeaseError::Connection(ConnectionError::Timeout) => CallerError::TimedOut,
-                        _ => CallerError::InDoubt,
-                    };
-                    return Answer::error(error, lease_error_detail(&e), TransactionStatus::Idle);
-                }
+                Err(e) if stmt.writes => return unanswered_write(req, &lease, &e),
                 Err(e) if expired => {
                     return Answer::error(
                         CallerError::TimedOut,
@@ -184,6 +155,25 @@
         }
     }
 
+    /// Sends a statement on a leased connection. A write is sent only to a connection holder that is known to respond.
+    async fn send(
+        &self,
+        lease: &mut ConnectionLease<C>,
+        req: &Request,
+        stmt: &BackendStatement,
+        at_least: Option<LogPoint>,
+        deadline: Time,
+    ) -> Result<Answer, LeaseError> {
+        let remaining = || deadline.saturating_since(clock::now());
+        let timeout = if stmt.writes {
+            lease.reserve(remaining()).await?;
+            remaining()
+        } else {
+            self.read_timeout(lease, remaining())
+        };
+        lease.run(stmt.command(req, at_least), timeout).await
+    }
+
     /// Counts and logs a retry of a statement.
     pub(super) fn on_retry(
         &self,
@@ -299,6 +289,19 @@
     }
 }
 
+/// The answer to a write that was sent and has no answer.
+fn unanswered_write<C>(req: &Request, lease: &ConnectionLease<C>, e: &LeaseError) -> Answer
+where
+    C: Connector + 'static,
+{
+    log_unanswered(req, lease, e);
+    let error = match e {
+        LeaseError::Connection(ConnectionError::Timeout) => CallerError::TimedOut,
+        _ => CallerError::InDoubt,
+    };
+    Answer::error(error, lease_error_detail(e), TransactionStatus::Idle)
+}
+
 /// Time after which a read is retried, at a server with this smoothed latency and with `remaining` left.
 pub(super) fn read_timeout(latency: Duration, remaining: Duration) -> Duration {
     remaining.min((latency * READ_TIMEOUT_LATENCY_FACTOR).max(MIN_READ_TIMEOUT))
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -1,8 +1,8 @@
 //! Transactions: start, statements, commit and rollback.
 
 use super::backend_statement::BackendStatement;
-use super::connection_wait::connection_wait_deadline;
 use super::connection_lease::LeaseError;
+use super::connection_wait::connection_wait_deadline;
 use super::refusal::{Refusal, lease_error_detail, log_unanswered, not_sent_refusal};
 use super::requirement::ServerRequirement;
 use super::run_autocommit::MAX_REFUSED_BACKOFF;
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -148,12 +148,18 @@
 
     /// Requests of this instance that the server runs or that wait at its holder.
     pub(super) const fn running(&self) -> u32 {
-        if self.relay.is_some() { self.relayed } else { self.in_use }
+        if self.relay.is_some() {
+            self.relayed
+        } else {
+            self.in_use
+        }
     }
 
     /// Latency that a new statement can expect.
     pub(super) fn expected_latency(&self, now: Time) -> Duration {
-        let wait = self.holder_wait.filter(|w| now.saturating_since(w.at) < HOLDER_WAIT_LIFETIME);
+        let wait = self
+            .holder_wait
+            .filter(|w| now.saturating_since(w.at) < HOLDER_WAIT_LIFETIME);
         self.latency.estimate() + wait.map_or(Duration::ZERO, |w| w.expected)
     }
 
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -332,7 +332,8 @@
             local: *pool.server.domain == *domain,
             latency: pool.expected_latency(now),
             running: pool.running(),
-            has_idle_connection: pool.relay.is_some() || pool.idle.iter().any(|c| c.organisation == waiter.organisation),
+            has_idle_connection: pool.relay.is_some()
+                || pool.idle.iter().any(|c| c.organisation == waiter.organisation),
             available: pool.available(self.limits.max_open, now),
             holds_point,
         }
