Keep the link of a holder that was silent for a moment, and prefer one replica for each organisation

A holder on a small machine may respond late under load; it is used again with its next sign. All instances prefer the same replica for an organisation, so that it needs connections at one. Only gaps of 1 s count as a suspension, since each request's age is checked too.

--- a/crates/gateway/src/sharing/connection_sharing.rs
+++ b/crates/gateway/src/sharing/connection_sharing.rs
@@ -191,9 +191,22 @@
         &self.suspects
     }
 
-    /// Records that a holder did not respond on a link, or cannot be reached. New leases use a new link, because a
-    /// connection that was silent may stay so for long after the network has recovered.
-    pub(super) fn on_holder_failure(&self, link: &Rc<OutgoingLink>, cause: &'static str) {
+    /// Records that a holder did not respond on a link. When that happens again without a sign between, new leases use a new
+    /// link, because a connection that was silent may stay so for long after the network has recovered.
+    pub(super) fn on_silence(&self, link: &Rc<OutgoingLink>, cause: &'static str) {
+        if link.set_silent() {
+            self.detach(link);
+        }
+        self.on_suspicion(of_instance(&link.peer), cause);
+    }
+
+    /// Records that a link was lost or could not be opened.
+    pub(super) fn on_link_lost(&self, link: &Rc<OutgoingLink>, cause: &'static str) {
+        self.detach(link);
+        self.on_suspicion(of_instance(&link.peer), cause);
+    }
+
+    fn detach(&self, link: &Rc<OutgoingLink>) {
         let detached = {
             let mut outgoing = self.outgoing.borrow_mut();
             match outgoing.get(&link.peer) {
@@ -202,11 +215,6 @@
             }
         };
         drop(detached);
-        let suspicion = Suspicion {
-            instance: link.peer.clone(),
-            server: None,
-        };
-        self.on_suspicion(suspicion, cause);
     }
 
     pub(super) fn on_suspicion(&self, suspicion: Suspicion, cause: &'static str) {
@@ -294,11 +302,19 @@
 
 impl LinkEvents for ConnectionSharing {
     fn on_leaving(&self, peer: &InstanceId) {
-        let suspicion = Suspicion {
-            instance: peer.clone(),
-            server: None,
-        };
-        self.on_suspicion(suspicion, "holder_leaving");
+        self.on_suspicion(of_instance(peer), "holder_leaving");
+    }
+
+    fn on_recovered(&self, peer: &InstanceId) {
+        self.suspects.borrow_mut().remove(&of_instance(peer));
+    }
+}
+
+/// Suspicion of an instance as a whole.
+fn of_instance(instance: &InstanceId) -> Suspicion {
+    Suspicion {
+        instance: instance.clone(),
+        server: None,
     }
 }
 
--- a/crates/gateway/src/sharing/incoming_link.rs
+++ b/crates/gateway/src/sharing/incoming_link.rs
@@ -147,11 +147,7 @@
     let read = async {
         let mut lateness = LatenessClock::default();
         loop {
-            let idle = async {
-                Timer::after(IDLE_LINK_TIMEOUT).await;
-                Err(LinkError::Closed)
-            };
-            let request = match link_socket::read(&mut stream).or(idle).await {
+            let request = match link_socket::read(&mut stream).await {
                 Ok(request) => request,
                 Err(e) => return e,
             };
@@ -167,12 +163,23 @@
             on_request(&link, request, &mut lateness, now, &mut serve);
         }
     };
+    let idle = async {
+        let mut received_before = 0;
+        loop {
+            Timer::after(IDLE_LINK_TIMEOUT).await;
+            let received = link.received.get();
+            if received == received_before {
+                return LinkError::Closed;
+            }
+            received_before = received;
+        }
+    };
     let stopped = async {
         // The channel carries no messages; it is closed when all links are to end.
         let _closed = stop.recv().await;
         LinkError::Suspended
     };
-    let error = stopped.or(read.or(write).or(confirm)).await;
+    let error = stopped.or(read.or(write).or(confirm)).or(idle).await;
     // The leases of the link see that their channels are closed.
     link.leases.borrow_mut().clear();
     error
--- a/crates/gateway/src/sharing/outgoing_link.rs
+++ b/crates/gateway/src/sharing/outgoing_link.rs
@@ -30,6 +30,8 @@
     /// Requests queued for sending, and those that the holder has confirmed.
     queued: Cell<u64>,
     received: Cell<u64>,
+    /// Whether the holder gave no sign of receipt in time, and none since.
+    silent: Cell<bool>,
     opened: Cell<bool>,
     closed: Cell<bool>,
 }
@@ -47,6 +49,9 @@
 pub(super) trait LinkEvents {
     /// The holder is about to stop.
     fn on_leaving(&self, peer: &InstanceId);
+
+    /// A holder that was silent responds again.
+    fn on_recovered(&self, peer: &InstanceId);
 }
 
 impl OutgoingLink {
@@ -87,6 +92,11 @@
         self.shared.opened.get()
     }
 
+    /// Records that the holder is silent. Returns whether it was already.
+    pub(super) fn set_silent(&self) -> bool {
+        self.shared.silent.replace(true)
+    }
+
     /// Allots the number of a new lease and the channel of its replies.
     pub(super) fn add_lease(&self) -> (LeaseNumber, Receiver<Reply>) {
         let lease = self.shared.next_lease.get();
@@ -175,6 +185,9 @@
 where
     E: LinkEvents,
 {
+    if shared.silent.replace(false) {
+        events.on_recovered(&target.peer);
+    }
     let confirm = |count: u64| shared.received.set(shared.received.get().max(count));
     match response {
         Response::Reply {
--- a/crates/gateway/src/sharing/relayed_connection.rs
+++ b/crates/gateway/src/sharing/relayed_connection.rs
@@ -276,7 +276,7 @@
         let mut reply = reply.or(overdue).await;
         if reply.is_none() {
             if !self.was_received(number) {
-                let not_sent = self.suspect("holder_silent");
+                let not_sent = self.on_silence();
                 if before == State::Unopened {
                     // A read, a start of a transaction or a reservation, which may be repeated elsewhere.
                     return Err(RelayError::NotSent(not_sent));
@@ -292,7 +292,7 @@
             Err(_closed) => {
                 self.state = State::Ended;
                 let never_opened = matches!(&self.path, Path::Link { link, .. } if !link.was_opened());
-                let not_sent = self.suspect("holder_unreachable");
+                let not_sent = self.on_link_lost();
                 if never_opened || reserves {
                     return Err(RelayError::NotSent(not_sent));
                 }
@@ -364,9 +364,18 @@
         suspects.on_response(&self.holder, &self.spec.server, reaches_server);
     }
 
-    fn suspect(&self, cause: &'static str) -> NotSent {
+    fn on_silence(&self) -> NotSent {
+        let cause = "holder_silent";
         if let Path::Link { link, .. } = &self.path {
-            self.sharing.on_holder_failure(link, cause);
+            self.sharing.on_silence(link, cause);
+        }
+        NotSent::NoHolder(cause)
+    }
+
+    fn on_link_lost(&self) -> NotSent {
+        let cause = "holder_unreachable";
+        if let Path::Link { link, .. } = &self.path {
+            self.sharing.on_link_lost(link, cause);
         }
         NotSent::NoHolder(cause)
     }
--- a/crates/gateway/src/sharing/suspects.rs
+++ b/crates/gateway/src/sharing/suspects.rs
@@ -96,6 +96,11 @@
         true
     }
 
+    /// Ends a suspicion.
+    pub fn remove(&mut self, suspicion: &Suspicion) {
+        self.entries.remove(suspicion);
+    }
+
     /// Forgets instances that are no longer registered.
     pub fn retain<F>(&mut self, is_registered: F)
     where
--- a/crates/gateway/src/sharing/suspension.rs
+++ b/crates/gateway/src/sharing/suspension.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 use wasabiyard_model::Time;
 
-/// Gap between two ticks, on a clock that counts suspension, from which on the process counts as suspended. Requesters
-/// have given up a silent holder by then.
-const MAX_TICK_GAP: Duration = Duration::from_millis(300);
+/// Gap between two ticks, on a clock that counts suspension, from which on the process counts as suspended. The age of each
+/// request is checked as well, so shorter gaps, which a small machine may have under load, need not end transactions.
+const MAX_TICK_GAP: Duration = Duration::from_secs(1);
 
 /// Watches the gaps between the ticks of the process.
 #[derive(Debug)]
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -15,7 +15,7 @@
 use wasabiyard_model::{InstanceId, PriorityClass, Time};
 
 /// Part of a server's connections that its holder opens; the rest is left to instances that cannot reach it.
-const HOLDER_FRACTION: f64 = 0.8;
+const HOLDER_FRACTION: f64 = 0.9;
 /// Idle timeout of the holder's connections. They are closed earlier when another organisation needs one.
 const HOLDER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle timeout while this instance is not the holder, but serves others that take it for one or suspect the holder.
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -15,6 +15,7 @@
 use wasabiyard_model::{InstanceId, LogPoint, Time};
 use wasabiyard_schedule::{AdmissionControl, FairQueue, QueuedRequest, RetryBudget};
 use wasabiyard_session::{PositionSample, PositionSamples};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Minimum time between two samples of the primary's log point, unless the term has increased.
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(40);
@@ -296,9 +297,10 @@
         }
         let (queued, waiter) = self.read_queue.pop(now)?;
         let ids: Vec<_> = self.read_servers().map(Arc::clone).collect();
+        let preferred = self.preferred_replica(&waiter.organisation);
         let candidates: Vec<_> = ids
             .iter()
-            .map(|id| self.candidate(id, &waiter, domain, now))
+            .map(|id| self.candidate(id, preferred.as_ref(), &waiter, domain, now))
             .collect();
         let chosen = choose_server(&candidates, rng).expect("an available server");
         Some(self.assign(queued, waiter, Arc::clone(&ids[chosen]), now))
@@ -317,7 +319,24 @@
             .any(|id| self.servers[id].available(self.limits.max_open, now))
     }
 
-    fn candidate(&self, id: &Arc<str>, waiter: &Waiter<R>, domain: &str, now: Time) -> Candidate {
+    /// The replica whose holder keeps most connections of an organisation, if the holders keep them: all instances prefer the
+    /// same one, so that an organisation needs connections at one replica.
+    fn preferred_replica(&self, organisation: &str) -> Option<Arc<str>> {
+        let replicas = self.accepting_servers.iter().filter(|id| !self.is_primary(id));
+        let shared = replicas.filter(|id| self.servers[*id].relay.is_some());
+        let preferred =
+            shared.max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), xxh3_64(organisation.as_bytes())));
+        preferred.map(Arc::clone)
+    }
+
+    fn candidate(
+        &self,
+        id: &Arc<str>,
+        preferred: Option<&Arc<str>>,
+        waiter: &Waiter<R>,
+        domain: &str,
+        now: Time,
+    ) -> Candidate {
         let pool = &self.servers[id];
         let primary = self.is_primary(id);
         let holds_point = match waiter.requirement {
@@ -332,8 +351,10 @@
             local: *pool.server.domain == *domain,
             latency: pool.expected_latency(now),
             running: pool.running(),
-            has_idle_connection: pool.relay.is_some()
-                || pool.idle.iter().any(|c| c.organisation == waiter.organisation),
+            has_idle_connection: match preferred {
+                Some(preferred) if pool.relay.is_some() => preferred == id,
+                _ => pool.idle.iter().any(|c| c.organisation == waiter.organisation),
+            },
             available: pool.available(self.limits.max_open, now),
             holds_point,
         }
