Let direct connections tell a lost server from a holder that is cut off

A refusal by the holder and another by its substitute delayed the moment at which instances know of their own that a primary is lost. Reservations that expire or are revoked are refused, not in doubt, since nothing was sent. Work whose time is too short when its turn comes takes no slot.

--- a/crates/gateway/src/sharing/frames.rs
+++ b/crates/gateway/src/sharing/frames.rs
@@ -262,6 +262,9 @@
     /// The holder is about to stop.
     #[serde(rename = "l")]
     Leaving,
+    /// No command came for a reservation in time.
+    #[serde(rename = "e")]
+    ReservationExpired,
     /// The holder cannot reach the server.
     #[serde(rename = "u")]
     ServerUnreachable,
--- a/crates/gateway/src/sharing/relay_route.rs
+++ b/crates/gateway/src/sharing/relay_route.rs
@@ -33,15 +33,25 @@
 
     /// The instance whose connections a statement uses at `now`; `None` when it has to use a direct connection. An
     /// instance that holds the server itself never avoids itself.
-    pub fn target(&self, now: Time) -> Option<&InstanceId> {
+    ///
+    /// A holder without its server shows that either of them is lost. Direct connections tell which, and this instance must know
+    /// that of its own before it reports the server as lost. The substitute is used once the server `answers_directly`.
+    pub fn target(&self, answers_directly: bool, now: Time) -> Option<&InstanceId> {
         let suspects = self.suspects.borrow();
-        let mut holders = std::iter::once(&self.holders.first).chain(&self.holders.second);
-        holders.find(|id| **id == self.own_id || suspects.allows(id, &self.server, now))
+        let allows = |id: &InstanceId| *id == self.own_id || suspects.allows(id, &self.server, now);
+        let first = &self.holders.first;
+        if allows(first) {
+            return Some(first);
+        }
+        if suspects.is_without_server(first, &self.server) && !answers_directly {
+            return None;
+        }
+        self.holders.second.as_ref().filter(|id| allows(id))
     }
 
-    /// Whether this instance is the one that the next statement uses.
-    pub fn is_local(&self, now: Time) -> bool {
-        self.target(now) == Some(&self.own_id)
+    /// Whether `target` is this instance.
+    pub fn is_own(&self, target: &InstanceId) -> bool {
+        *target == self.own_id
     }
 
     /// Whether this instance holds the server.
--- a/crates/gateway/src/sharing/relayed_connection.rs
+++ b/crates/gateway/src/sharing/relayed_connection.rs
@@ -244,6 +244,7 @@
                 self.note_response(false);
                 NotSent::NotPrimary
             }
+            Refusal::ReservationExpired => NotSent::NoHolder("reservation_expired"),
             Refusal::NotInService => self.suspect_as_holder("not_in_service"),
             Refusal::ServerUnreachable => self.suspect_as_holder("holder_without_server"),
             Refusal::Leaving => {
--- a/crates/gateway/src/sharing/server_gate.rs
+++ b/crates/gateway/src/sharing/server_gate.rs
@@ -138,7 +138,7 @@
         self.drop_expired(now);
         let next = match self.open.pop_first() {
             Some((_, payload)) => Some(payload),
-            None if state.has_connection => self.new.pop(now).map(|(_, payload)| payload),
+            None if state.has_connection => self.next_new(now),
             None => None,
         }?;
         self.running += 1;
@@ -172,6 +172,17 @@
         self.open.is_empty() && self.new.is_empty() && self.expired.is_empty()
     }
 
+    /// Removes the next new work that can still be answered in its time.
+    fn next_new(&mut self, now: Time) -> Option<P> {
+        loop {
+            let (queued, payload) = self.new.pop(now)?;
+            if self.admission.can_meet_deadline(queued.deadline, now) {
+                return Some(payload);
+            }
+            self.expired.push(payload);
+        }
+    }
+
     fn drop_expired(&mut self, now: Time) {
         while let Some(entry) = self.open.first_entry()
             && entry.key().0 <= now
--- a/crates/gateway/src/sharing/suspects.rs
+++ b/crates/gateway/src/sharing/suspects.rs
@@ -54,6 +54,15 @@
         })
     }
 
+    /// Whether `instance` was last found to be without `server`, while it responds itself.
+    pub fn is_without_server(&self, instance: &InstanceId, server: &Arc<str>) -> bool {
+        if self.entries.is_empty() {
+            return false;
+        }
+        let [whole, one] = suspicions(instance, server);
+        !self.entries.contains_key(&whole) && self.entries.contains_key(&one)
+    }
+
     /// Records that a statement is sent. It is the trial of an instance that was avoided before.
     pub fn on_send(&mut self, instance: &InstanceId, server: &Arc<str>, now: Time) {
         if self.entries.is_empty() {
--- a/crates/gateway/src/traffic/held_server.rs
+++ b/crates/gateway/src/traffic/held_server.rs
@@ -145,15 +145,13 @@
             };
             let mut next = None;
             self.with_server(service, server, |s| {
-                dropped = s.gate.take_dropped(now);
-                refusal.retry_after = s
-                    .gate
-                    .expected_wait(s.server.capacity, now)
-                    .max(refusal.retry_after);
                 if s.is_failing(now) {
                     s.gate.drop_new();
                 }
                 next = s.start_held_work(now);
+                dropped = s.gate.take_dropped(now);
+                let wait = s.gate.expected_wait(s.server.capacity, now);
+                refusal.retry_after = wait.max(refusal.retry_after);
             });
             for waiter in dropped {
                 drop(waiter.try_send(Err(overloaded(refusal))));
--- a/crates/gateway/src/traffic/lease_task.rs
+++ b/crates/gateway/src/traffic/lease_task.rs
@@ -113,7 +113,13 @@
             self.execute(&mut lease, &command, deadline, true).await?
         } else {
             self.replies.send(Reply::Granted);
-            let next = self.next_command(&lease, RESERVATION_TIME).await?;
+            let next = self.next_command(&lease, RESERVATION_TIME).await;
+            // Nothing was sent to the server yet.
+            let next = next.map_err(|end| match end {
+                End::Reply(Reply::Failed(Failure::Revoked)) => Refusal::NotPrimary.into(),
+                End::Reply(_) => Refusal::ReservationExpired.into(),
+                End::Closed => End::Closed,
+            })?;
             self.execute(&mut lease, &next.command, next.deadline, false)
                 .await?
         };
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -280,6 +280,9 @@
                 let expected = conn.expected_wait();
                 server.holder_wait = Some(HolderWait { expected, at: now });
             }
+            if relayed.is_none() {
+                server.last_direct_answer = now;
+            }
             // The lease at the holder has recorded the answer if that is this instance.
             let recorded = relayed.is_some_and(RelayedConnection::is_local);
             if answer.failure() != Some(CallerError::Busy) && !recorded {
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -13,7 +13,7 @@
 use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{InstanceId, LogPoint, Time};
 
 /// An idle connection, which only its organisation may reuse.
 #[derive(Debug)]
@@ -41,6 +41,9 @@
 /// Age from which on an expected wait is of no use.
 const HOLDER_WAIT_LIFETIME: Duration = Duration::from_millis(500);
 
+/// Age from which on an answer no longer shows that the server is reachable from this instance.
+const DIRECT_ANSWER_LIFETIME: Duration = Duration::from_secs(2);
+
 /// The connections to one server.
 #[derive(Debug)]
 pub(super) struct ServerPool<C> {
@@ -60,6 +63,8 @@
     pub(super) relayed: u32,
     /// Last wait that the holder reported.
     pub(super) holder_wait: Option<HolderWait>,
+    /// When the server last answered on a connection of this instance.
+    pub(super) last_direct_answer: Time,
     /// Limits for connections that are shared; `None` when they are not.
     pub(super) held_limits: Option<HeldLimits>,
     /// Work that passes through this instance as a holder.
@@ -81,6 +86,7 @@
             relay: None,
             relayed: 0,
             holder_wait: None,
+            last_direct_answer: Time::ZERO,
             held_limits: None,
             gate: ServerGate::default(),
             revocation: async_channel::bounded(1),
@@ -101,10 +107,9 @@
 
     /// Whether one more connection can be leased without waiting. At a holder, the statement waits in its queue.
     pub(super) fn available(&self, limit: u32, now: Time) -> bool {
-        if let Some(relay) = &self.relay
-            && relay.target(now).is_some()
-        {
-            return !relay.is_local(now) || !self.health.is_failing() || self.health.allows_request(0, now);
+        if let Some(target) = self.relay_target(now) {
+            let is_own = self.relay.as_ref().is_some_and(|r| r.is_own(target));
+            return !is_own || !self.health.is_failing() || self.health.allows_request(0, now);
         }
         self.in_use < limit
             && self.health.allows_request(self.in_use, now)
@@ -136,6 +141,12 @@
         true
     }
 
+    /// The instance through which the next statement goes; `None` for a direct connection.
+    pub(super) fn relay_target(&self, now: Time) -> Option<&InstanceId> {
+        let answers_directly = now.saturating_since(self.last_direct_answer) < DIRECT_ANSWER_LIFETIME;
+        self.relay.as_ref()?.target(answers_directly, now)
+    }
+
     /// Maximum number of idle connections.
     pub(super) fn max_idle(&self, limits: &ConnectionLimits) -> u32 {
         self.held_limits.map_or(limits.max_idle, |l| l.max_open)
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -369,7 +369,7 @@
     ) -> Assignment<C, R> {
         let limit = self.limits.max_open;
         let pool = self.servers.get_mut(&server).expect("a known server");
-        if let Some(holder) = pool.relay.as_ref().and_then(|relay| relay.target(now)).cloned() {
+        if let Some(holder) = pool.relay_target(now).cloned() {
             return Assignment {
                 queued,
                 waiter,
--- a/crates/gateway/tests/sharing_decisions.rs
+++ b/crates/gateway/tests/sharing_decisions.rs
@@ -257,3 +257,18 @@
     assert!(detector.on_tick(at(1_100)));
     assert!(!detector.on_tick(at(1_120)));
 }
+
+/// Work was sent to the server although its time would be over before the answer, and took a slot from work that had time.
+#[test]
+fn work_whose_time_is_too_short_by_now_takes_no_slot() {
+    let mut gate = ServerGate::default();
+    let new = work("org", PriorityClass::Normal, at(100));
+    gate.push_new(&new, SLOTS, "short", at(0)).expect("admitted");
+    let new = work("org", PriorityClass::Normal, at(900));
+    gate.push_new(&new, SLOTS, "long", at(0)).expect("admitted");
+    for _ in 0..20 {
+        gate.finish(Duration::from_millis(50), at(70));
+    }
+    assert_eq!(gate.start_next(FREE, at(80)), Some("long"));
+    assert_eq!(gate.take_dropped(at(80)), ["short"]);
+}
