--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `view` replicates what a few instances read from the store to the others.
 //! - `usage` counts operations and decides what is reported of them.
 //! - `peer` carries messages between instances.
+//! - `sharing` lets instances use the backend connections of one that holds them.
 //!
 //! Nothing here knows the protocol of callers and backend servers, or the documents of the store that others write.
 //! The traits [`CallerLink`], [`Connector`], [`Discovery`], [`Promoter`] and
@@ -28,6 +29,7 @@
 mod primary_record;
 pub mod rate;
 mod regions;
+pub mod sharing;
 mod statement;
 pub mod traffic;
 pub mod usage;
@@ -51,4 +53,5 @@
 pub use peer::PeerMessage;
 pub use primary_record::{Leadership, PrimaryRecord};
 pub use regions::Regions;
+pub use sharing::SharingRule;
 pub use statement::{PreparedStatement, Request, Statement};
--- a/crates/gateway/src/traffic/assignment.rs
+++ b/crates/gateway/src/traffic/assignment.rs
@@ -10,8 +10,9 @@
 use crate::connection_state::ConnectionState;
 use rand::Rng;
 use std::sync::Arc;
-use wasabiyard_model::{PriorityClass, Time};
+use wasabiyard_model::{InstanceId, PriorityClass, Time};
 use wasabiyard_schedule::QueuedRequest;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Most reads that one assignment sets aside because all servers with room are in a region that they may not cross to.
 const MAX_SET_ASIDE: usize = 8;
@@ -23,6 +24,8 @@
     Idle(IdleConnection<C>),
     /// A new connection, which has to be opened.
     Connect,
+    /// A connection that this instance holds.
+    Relay(InstanceId),
 }
 
 /// A waiter with the server that was chosen for it.
@@ -84,9 +87,10 @@
             && let Some((queued, waiter)) = self.pop_read(now)
         {
             let ids: Vec<_> = self.read_servers(queued.class, now).map(Arc::clone).collect();
+            let preferred = self.preferred_replica(&waiter.organisation);
             let candidates: Vec<_> = ids
                 .iter()
-                .map(|id| self.candidate(id, queued.class, &waiter, locality, now))
+                .map(|id| self.candidate(id, preferred.as_ref(), queued.class, &waiter, locality, now))
                 .collect();
             match choose_server(&candidates, rng) {
                 Some(chosen) => {
@@ -151,9 +155,20 @@
             .any(|id| self.servers[id].available_to(class, self.limits.max_open, now))
     }
 
+    /// The replica whose holder keeps most connections of an organisation, if the holders keep them: all instances prefer the
+    /// same one, so that an organisation needs connections at one replica.
+    fn preferred_replica(&self, organisation: &str) -> Option<Arc<str>> {
+        let replicas = self.accepting_servers.iter().filter(|id| !self.is_primary(id));
+        let shared = replicas.filter(|id| self.servers[*id].relay.is_some());
+        let preferred =
+            shared.max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), xxh3_64(organisation.as_bytes())));
+        preferred.map(Arc::clone)
+    }
+
     fn candidate(
         &self,
         id: &Arc<str>,
+        preferred: Option<&Arc<str>>,
         class: PriorityClass,
         waiter: &Waiter<R>,
         locality: &Locality<'_>,
@@ -172,9 +187,12 @@
             primary,
             local: *pool.server.domain == *locality.domain,
             distance: locality.distance(&pool.server.domain, now),
-            latency: pool.latency.estimate(),
-            running: pool.in_use,
-            has_idle_connection: pool.idle.iter().any(|c| c.organisation == waiter.organisation),
+            latency: pool.expected_latency(now),
+            running: pool.running(),
+            has_idle_connection: match preferred {
+                Some(preferred) if pool.relay.is_some() => preferred == id,
+                _ => pool.idle.iter().any(|c| c.organisation == waiter.organisation),
+            },
             available: pool.available_to(class, self.limits.max_open, now)
                 && locality.may_reach(&pool.server.domain, class, now),
             holds_point,
@@ -190,6 +208,14 @@
     ) -> Assignment<C, R> {
         let limit = self.limits.max_open;
         let pool = self.servers.get_mut(&server).expect("a known server");
+        if let Some(holder) = pool.relay_target(now).cloned() {
+            return Assignment {
+                queued,
+                waiter,
+                server,
+                source: ConnectionSource::Relay(holder),
+            };
+        }
         let values = &waiter.values;
         let adjustment_cost = |connection_state: &ConnectionState| {
             let adjustment = connection_state.adjustment(values);
--- a/crates/gateway/src/traffic/crossing.rs
+++ b/crates/gateway/src/traffic/crossing.rs
@@ -13,7 +13,7 @@
 /// Whether a request of a class may cross a link on which round trips take `congestion` longer than usual. The most urgent
 /// class always may.
 pub fn may_cross(class: PriorityClass, congestion: Duration) -> bool {
-    match class as usize {
+    match class.rank() {
         0 => true,
         1 => congestion < NORMAL_LIMIT,
         _ => congestion < BACKGROUND_LIMIT,
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -1,22 +1,23 @@
 //! The connection pool of an instance: its connections to all backend servers, by service and server.
 
 use super::connection_lease::ConnectionLease;
-use super::ordered_connection::OrderedConnection;
+use super::leased_connection::LeasedConnection;
 use super::region_distances::RegionDistances;
 use super::service_pool::ServicePool;
 use crate::connection_state::ConnectionState;
 use crate::control::ServerContacts;
 use crate::metrics::Metrics;
+use crate::sharing::ConnectionSharing;
 use crate::{ClusterSnapshot, Connector, Regions};
 use async_executor::LocalExecutor;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{LogPoint, Time};
+use wasabiyard_model::{LogPoint, PriorityClass, Time};
 use wasabiyard_schedule::QueuedRequest;
 
 /// Settings of the pool.
@@ -30,6 +31,24 @@
     pub seed: u64,
 }
 
+/// For whom a connection is leased.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Requester<'a> {
+    /// Organisation whose statements it carries.
+    pub(super) organisation: &'a Arc<str>,
+    /// Priority class of the statement or transaction.
+    pub(super) class: PriorityClass,
+}
+
+impl<'a> From<&'a QueuedRequest> for Requester<'a> {
+    fn from(queued: &'a QueuedRequest) -> Self {
+        Self {
+            organisation: &queued.organisation,
+            class: queued.class,
+        }
+    }
+}
+
 /// Why no connection could be leased.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PoolError {
@@ -84,6 +103,8 @@
     pub(super) released: RefCell<HashMap<Arc<str>, u64>>,
     /// Entries of `released` that were not yet reported to the control thread and the peers.
     pub(super) newly_released: RefCell<Vec<(Arc<str>, u64)>>,
+    /// Sharing of connections with other instances; empty when this instance does not take part.
+    pub(super) sharing: OnceCell<Rc<ConnectionSharing>>,
 }
 
 impl<C> std::fmt::Debug for Pool<C>
@@ -122,9 +143,16 @@
             rng,
             released: RefCell::default(),
             newly_released: RefCell::default(),
+            sharing: OnceCell::new(),
         })
     }
 
+    /// Lets the pool share connections with other instances. Called once, before the first snapshot.
+    pub fn enable_sharing(&self, sharing: Rc<ConnectionSharing>) {
+        let first = self.sharing.set(sharing).is_ok();
+        assert!(first, "sharing is enabled once");
+    }
+
     /// The cluster snapshot that was passed to [`Self::update`] last.
     pub fn snapshot(&self) -> Arc<ClusterSnapshot> {
         Arc::clone(&self.snapshot.borrow())
@@ -147,6 +175,7 @@
             self.update_primary(service, snapshot, now);
             self.dispatch(service, now);
         }
+        self.update_relays(snapshot);
     }
 
     /// Rejects expired waiters, closes connections that are idle for too long, and stops the use of primaries
@@ -158,6 +187,7 @@
         for service in &names {
             self.update_primary(service, &snapshot, now);
             self.dispatch(service, now);
+            self.dispatch_gates(service, now);
             self.close_idle(service, now);
             self.report_paces(service, now);
         }
@@ -193,8 +223,8 @@
         self: &Rc<Self>,
         service: &Arc<str>,
         server: &Arc<str>,
-        queued: &QueuedRequest,
-        conn: OrderedConnection<C::Connection>,
+        requester: Requester<'_>,
+        conn: LeasedConnection<C::Connection>,
         connection_state: ConnectionState,
         now: Time,
     ) -> Option<ConnectionLease<C>> {
@@ -208,10 +238,11 @@
             pool: Rc::clone(self),
             service: Arc::clone(service),
             server: Arc::clone(server),
-            organisation: Arc::clone(&queued.organisation),
-            class: queued.class,
+            organisation: Arc::clone(requester.organisation),
+            class: requester.class,
             epoch,
             revoked: pool.servers.get(server)?.revocation(),
+            relayed: matches!(conn, LeasedConnection::Relayed(_)),
             conn: Some(conn),
             connection_state,
             started: now,
@@ -222,8 +253,14 @@
     /// Takes back the connection of a lease. A connection that failed, is inside a transaction, may mistake a repeated
     /// answer for its next one, belongs to a revoked lease or to a draining server is closed.
     pub(super) fn release(self: &Rc<Self>, lease: &mut ConnectionLease<C>, now: Time) {
+        if lease.relayed {
+            lease.conn = None;
+            self.release_relayed(lease);
+            return;
+        }
         let conn = lease.conn.take();
         let conn = conn.filter(|c| !lease.in_transaction && c.recognises_repeats());
+        let conn = conn.and_then(LeasedConnection::into_direct);
         let connection_state = std::mem::take(&mut lease.connection_state);
         if let Some(pool) = self.services.borrow_mut().get_mut(&lease.service) {
             pool.admission(lease.queue_kind())
@@ -231,7 +268,7 @@
             let limits = pool.limits;
             if let Some(server) = pool.servers.get_mut(&lease.server) {
                 server.in_use = server.in_use.saturating_sub(1);
-                if server.idle.len() as u32 >= limits.max_idle {
+                if server.idle.len() as u32 >= server.max_idle(&limits) {
                     server.evict();
                 }
                 let stale = lease.revoked.is_closed() || server.server.draining;
@@ -277,8 +314,8 @@
         let Some(pool) = services.get_mut(service) else {
             return;
         };
-        let idle_timeout = pool.limits.idle_timeout;
         for server in pool.servers.values_mut() {
+            let idle_timeout = server.idle_timeout(&pool.limits);
             server
                 .idle
                 .retain(|c| now.saturating_since(c.since) < idle_timeout);
--- a/crates/gateway/src/traffic/pool_connect.rs
+++ b/crates/gateway/src/traffic/pool_connect.rs
@@ -1,7 +1,8 @@
 //! Opening of new backend connections for waiters.
 
+use super::leased_connection::LeasedConnection;
 use super::ordered_connection::OrderedConnection;
-use super::pool::{LeaseResult, Pool, PoolError};
+use super::pool::{LeaseResult, Pool, PoolError, Requester};
 use super::pool_queue::deliver_lease;
 use super::primary_wait::{check_primary_wait, queue_error};
 use super::region_distances::RoundTripKind;
@@ -57,8 +58,8 @@
                 let lease = self.new_lease(
                     &service,
                     &server,
-                    &queued,
-                    OrderedConnection::new(conn),
+                    Requester::from(&queued),
+                    LeasedConnection::Direct(OrderedConnection::new(conn)),
                     connection_state,
                     now,
                 );
--- a/crates/gateway/src/traffic/pool_feedback.rs
+++ b/crates/gateway/src/traffic/pool_feedback.rs
@@ -2,7 +2,9 @@
 
 use super::connection_lease::ConnectionLease;
 use super::pool::Pool;
+use super::server_pool::HolderWait;
 use super::transaction_wait::TransactionWait;
+use crate::sharing::RelayedConnection;
 use crate::{Answer, CallerError, Connector, OverloadOrder};
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,11 +46,24 @@
         let urgent_tolerance = pool.urgent_tolerance;
         if let Some(server) = pool.servers.get_mut(&lease.server) {
             server.on_point(point);
-            if answer.failure() != Some(CallerError::Busy) {
-                let took = now.saturating_since(sent_at);
+            let relayed = lease.relayed_connection();
+            match relayed {
+                Some(conn) => {
+                    let expected = conn.expected_wait();
+                    server.holder_wait = Some(HolderWait { expected, at: now });
+                }
+                None => server.last_direct_answer = now,
+            }
+            // The lease at the holder has recorded the answer if that is this instance.
+            let recorded = relayed.is_some_and(RelayedConnection::is_local);
+            if answer.failure() != Some(CallerError::Busy) && !recorded {
+                let queued = relayed.map_or(Duration::ZERO, RelayedConnection::queued);
+                let took = now.saturating_since(sent_at).saturating_sub(queued);
                 let mut rng = self.rng.borrow_mut();
                 server.on_answer(took, is_statement, now, &mut *rng);
-                if is_statement && pool.overload_order == OverloadOrder::ByRank {
+                // A connection holder orders the classes itself.
+                let yields = pool.overload_order == OverloadOrder::ByRank && server.relay.is_none();
+                if is_statement && yields {
                     let was_strained = server.yielding.is_strained(now);
                     server
                         .yielding
@@ -87,8 +102,11 @@
     }
 
     /// Records that the lease's server refused a statement as overloaded. Other servers are preferred until answers
-    /// lower its latency again.
+    /// lower its latency again. A connection holder paces the server itself.
     pub(super) fn on_overloaded(&self, lease: &ConnectionLease<C>, now: Time) {
+        if lease.relayed {
+            return;
+        }
         self.metrics.on_server_refusal(&lease.service, lease.class);
         let mut services = self.services.borrow_mut();
         let Some(pool) = services.get_mut(&lease.service) else {
--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -4,7 +4,8 @@
 use super::connection_lease::ConnectionLease;
 use super::connection_wait::connection_wait_deadline;
 use super::crossing::CROSSING_RETRY;
-use super::pool::{LeaseResult, Pool, PoolError};
+use super::leased_connection::LeasedConnection;
+use super::pool::{LeaseResult, Pool, PoolError, Requester};
 use super::primary_wait::{check_primary_wait, queue_error};
 use super::requirement::ServerRequirement;
 use super::service_pool::{QueueKind, Waiter};
@@ -238,9 +239,14 @@
         } = assignment;
         match source {
             ConnectionSource::Idle(idle) => {
-                let lease = self.new_lease(service, &server, &queued, idle.conn, idle.connection_state, now);
+                let conn = LeasedConnection::Direct(idle.conn);
+                let requester = Requester::from(&queued);
+                let lease = self.new_lease(service, &server, requester, conn, idle.connection_state, now);
                 deliver_lease(&waiter, lease);
             }
+            ConnectionSource::Relay(holder) => {
+                self.relay(service, &server, &holder, queued.class, &waiter, now);
+            }
             ConnectionSource::Connect => {
                 let pool = Rc::clone(self);
                 let service = Arc::clone(service);
--- a/crates/gateway/src/traffic/region_distances.rs
+++ b/crates/gateway/src/traffic/region_distances.rs
@@ -126,7 +126,7 @@
         let mut changes = Vec::new();
         for region in self.regions.keys() {
             let congestion = self.congestion(region, now);
-            let is_congested = !may_cross(PriorityClass::Background, congestion);
+            let is_congested = !may_cross(PriorityClass::BACKGROUND, congestion);
             if is_congested != self.congested.contains(region) {
                 changes.push((Arc::clone(region), congestion));
             }
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -3,13 +3,15 @@
 use super::access::ANONYMOUS_ORGANISATION;
 use super::backend_statement::BackendStatement;
 use super::connection_lease::{ConnectionLease, LeaseError};
+use super::not_sent_retries::{NextAttempt, NotSentRetries};
 use super::pool_queue::LeaseRequest;
 use super::refusal::{
     Refusal, busy_error, lease_error_cause, lease_error_detail, log_unanswered, mask_server_error,
-    pool_refusal,
+    not_sent_cause, not_sent_refusal, pool_refusal,
 };
 use super::requirement::{ServerRequirement, required_point};
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
+use crate::usage::OperationCount;
 use crate::{
     Answer, CallerError, ConnectionError, Connector, Freshness, PreparedStatement, Request, RouteRule,
     TransactionStatus, clock, event_log,
@@ -59,6 +61,7 @@
         let deadline = received_at + route.timeout.saturating_sub(ANSWER_MARGIN);
         let mut primary_only = stmt.writes;
         let mut read_failures = 0;
+        let mut not_sent_retries = NotSentRetries::default();
         let mut backoff = RETRY_DELAY;
         let mut operation = self.new_operation();
         self.cx.pool.on_first_attempt(&route.service);
@@ -75,14 +78,9 @@
                 Ok(ready) => ready,
                 Err((error, detail)) => return Answer::error(error, detail, TransactionStatus::Idle),
             };
-            let remaining = deadline.saturating_since(clock::now());
-            let timeout = if stmt.writes {
-                remaining
-            } else {
-                self.read_timeout(&lease, remaining)
-            };
-            let cmd = stmt.command(req, at_least);
-            let result = lease.run_operation(cmd, timeout, &mut operation).await;
+            let result = self
+                .send(&mut lease, req, stmt, at_least, deadline, &mut operation)
+                .await;
             let now = clock::now();
             let expired = now + RETRY_DELAY >= deadline;
             match result {
@@ -136,14 +134,18 @@
                     }
                     Some(error) => return mask_server_error(answer, error),
                 },
-                Err(e) if stmt.writes => {
-                    log_unanswered(req, &lease, &e);
-                    let error = match e {
-                        LeaseError::Connection(ConnectionError::Timeout) => CallerError::TimedOut,
-                        _ => CallerError::InDoubt,
-                    };
-                    return Answer::error(error, lease_error_detail(&e), TransactionStatus::Idle);
+                Err(LeaseError::NotSent(not_sent)) => {
+                    let elsewhere = requirement != ServerRequirement::Primary;
+                    let next = not_sent_retries.next(not_sent, elsewhere, expired);
+                    if next == NextAttempt::Refuse {
+                        let (error, detail) = not_sent_refusal(not_sent);
+                        return Answer::error(error, detail, TransactionStatus::Idle);
+                    }
+                    self.on_retry(req, route, &lease, not_sent_cause(not_sent));
+                    drop(lease);
+                    next.due().await;
                 }
+                Err(e) if stmt.writes => return unanswered_write(req, &lease, &e),
                 Err(e) if expired => {
                     return Answer::error(
                         CallerError::TimedOut,
@@ -175,6 +177,28 @@
         }
     }
 
+    /// Sends a statement on a leased connection. A write is sent only to a connection holder that is known to respond.
+    async fn send(
+        &self,
+        lease: &mut ConnectionLease<C>,
+        req: &Request,
+        stmt: &BackendStatement,
+        at_least: Option<LogPoint>,
+        deadline: Time,
+        operation: &mut OperationCount,
+    ) -> Result<Answer, LeaseError> {
+        let remaining = || deadline.saturating_since(clock::now());
+        let timeout = if stmt.writes {
+            lease.reserve(remaining()).await?;
+            remaining()
+        } else {
+            self.read_timeout(lease, remaining())
+        };
+        lease
+            .run_operation(stmt.command(req, at_least), timeout, operation)
+            .await
+    }
+
     /// Counts and logs a retry of a statement.
     pub(super) fn on_retry(
         &self,
@@ -268,7 +292,11 @@
 
     /// Time after which a read is retried on another server, at most `remaining`.
     pub(super) fn read_timeout(&self, lease: &ConnectionLease<C>, remaining: Duration) -> Duration {
-        remaining.min((self.cx.pool.latency(lease) * READ_TIMEOUT_LATENCY_FACTOR).max(MIN_READ_TIMEOUT))
+        if lease.relayed {
+            // The time at the server is limited by its holder, in whose queue the read waits first.
+            return remaining;
+        }
+        read_timeout(self.cx.pool.latency(lease), remaining)
     }
 
     pub(super) async fn acquire_rate_token(&self, route: &RouteRule) -> Result<(), Refusal> {
@@ -285,3 +313,21 @@
             })
     }
 }
+
+/// The answer to a write that was sent and has no answer.
+fn unanswered_write<C>(req: &Request, lease: &ConnectionLease<C>, e: &LeaseError) -> Answer
+where
+    C: Connector + 'static,
+{
+    log_unanswered(req, lease, e);
+    let error = match e {
+        LeaseError::Connection(ConnectionError::Timeout) => CallerError::TimedOut,
+        _ => CallerError::InDoubt,
+    };
+    Answer::error(error, lease_error_detail(e), TransactionStatus::Idle)
+}
+
+/// Time after which a read is retried, at a server with this smoothed latency and with `remaining` left.
+pub(super) fn read_timeout(latency: Duration, remaining: Duration) -> Duration {
+    remaining.min((latency * READ_TIMEOUT_LATENCY_FACTOR).max(MIN_READ_TIMEOUT))
+}
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -9,6 +9,7 @@
 use crate::connection_state::SessionValues;
 use crate::{ClusterSnapshot, OverloadOrder, PrimaryView};
 use async_channel::Sender;
+use rand::Rng;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -120,11 +121,9 @@
                 }
                 Some(known) => {
                     known.revoke();
-                    let in_use = known.in_use;
                     known.pace.set_share(share, now);
                     known.pace.on_started(now, rng);
-                    *known = ServerPool::new(Arc::clone(server), known.pace.clone());
-                    known.in_use = in_use;
+                    *known = known.restarted(Arc::clone(server));
                 }
                 None => {
                     let mut pace = ServerPace::new(share);
--- a/crates/gateway/tests/regions.rs
+++ b/crates/gateway/tests/regions.rs
@@ -60,9 +60,9 @@
         let now = after(from_ms + 2_950);
         let congestion = distances.congestion("south", now);
         let classes = [
-            PriorityClass::Critical,
-            PriorityClass::Normal,
-            PriorityClass::Background,
+            PriorityClass::CRITICAL,
+            PriorityClass::NORMAL,
+            PriorityClass::BACKGROUND,
         ];
         (
             classes.map(|class| may_cross(class, congestion)),
@@ -165,7 +165,7 @@
 
 fn token_messages(wait: Duration, reserved_rate: f64) -> [PeerMessage; 3] {
     let request = TokenRequest {
-        class: PriorityClass::Normal,
+        class: PriorityClass::NORMAL,
         max_wait: Duration::from_micros(150_900),
     };
     let response = TokenResponse {
--- a/crates/model/src/priority_class.rs
+++ b/crates/model/src/priority_class.rs
@@ -1,10 +1,12 @@
 //! Priority classes of requests.
 
+use serde::{Deserialize, Serialize};
 use std::str::FromStr;
 
 /// Priority of the requests of a route when connections to backend servers or rate tokens are scarce: the rank of the
 /// route's priority among all priorities in use. A higher priority compares as less.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "u8", into = "u8")]
 pub struct PriorityClass(u8);
 
 impl PriorityClass {
@@ -42,6 +44,18 @@
     }
 }
 
+impl From<u8> for PriorityClass {
+    fn from(rank: u8) -> Self {
+        Self::from_rank(rank.into())
+    }
+}
+
+impl From<PriorityClass> for u8 {
+    fn from(class: PriorityClass) -> Self {
+        class.0
+    }
+}
+
 impl FromStr for PriorityClass {
     type Err = ();
 
