Take few round trips for no sign of congestion

Cause: in a trial of the soak with two regions on one machine, single slow responses counted as 20 ms of congestion, since an idle instance sends one or two token requests in two seconds.

--- a/crates/gateway/src/traffic/recent_minimum.rs
+++ b/crates/gateway/src/traffic/recent_minimum.rs
@@ -10,6 +10,8 @@
     window_start: Time,
     present: Option<Duration>,
     previous: Option<Duration>,
+    /// Samples of the present and the previous window.
+    counts: [u32; 2],
 }
 
 impl RecentMinimum {
@@ -20,6 +22,7 @@
             window_start: Time::ZERO,
             present: None,
             previous: None,
+            counts: [0; 2],
         }
     }
 
@@ -27,15 +30,27 @@
     pub(super) fn record(&mut self, sample: Duration, now: Time) -> Duration {
         let elapsed = now.saturating_since(self.window_start);
         if elapsed >= self.window {
-            self.previous = self.present.filter(|_| elapsed < self.window * 2);
+            let is_adjacent = elapsed < self.window * 2;
+            self.previous = self.present.filter(|_| is_adjacent);
+            self.counts = [0, if is_adjacent { self.counts[0] } else { 0 }];
             self.present = None;
             self.window_start = now;
         }
+        self.counts[0] += 1;
         let present = self.present.map_or(sample, |p| p.min(sample));
         self.present = Some(present);
         self.previous.map_or(present, |p| p.min(present))
     }
 
+    /// Number of samples that the minimum at `now` is taken over.
+    pub(super) fn count(&self, now: Time) -> u32 {
+        match now.saturating_since(self.window_start) {
+            elapsed if elapsed >= self.window * 2 => 0,
+            elapsed if elapsed >= self.window => self.counts[0],
+            _ => self.counts.iter().sum(),
+        }
+    }
+
     /// The minimum at `now`; `None` without a sample of late.
     pub(super) fn current(&self, now: Time) -> Option<Duration> {
         match now.saturating_since(self.window_start) {
--- a/crates/gateway/src/traffic/region_distances.rs
+++ b/crates/gateway/src/traffic/region_distances.rs
@@ -16,6 +16,9 @@
 /// Window of the minimum that shows congestion. Single slow answers do not raise it.
 const CONGESTION_WINDOW: Duration = Duration::from_secs(1);
 
+/// Round trips of late from which on their minimum shows congestion. One or two may be slow on an idle link.
+const MIN_CONGESTION_SAMPLES: u32 = 4;
+
 /// What was measured; only like is compared with like.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RoundTripKind {
@@ -59,8 +62,11 @@
 }
 
 impl RoundTrips {
-    /// How much longer the round trips of late are than without congestion; `None` without any of late.
+    /// How much longer the round trips of late are than without congestion; `None` with too few of late.
     fn excess(&self, now: Time) -> Option<Duration> {
+        if self.recent.count(now) < MIN_CONGESTION_SAMPLES {
+            return None;
+        }
         let recent = self.recent.current(now)?;
         Some(recent.saturating_sub(self.base.current(now)?))
     }
@@ -108,7 +114,7 @@
     }
 
     /// How much longer the round trips to `region` are of late than usual, less what those within the own region are.
-    /// Zero without a round trip of late, so that requests cross again and measure it.
+    /// Zero with few round trips of late, so that requests cross again and measure it.
     pub fn congestion(&self, region: &str, now: Time) -> Duration {
         let excess = |region: &str| {
             let known = self.regions.get(region)?;
--- a/crates/gateway/tests/regions.rs
+++ b/crates/gateway/tests/regions.rs
@@ -76,6 +76,9 @@
     assert_eq!(run(12_000, 1, 19), ([true, true, true], 1));
     run(15_000, 1, 117);
     assert_eq!(distances.congestion("south", after(20_000)), Duration::ZERO);
+    // One slow round trip on an idle link.
+    distances.record(&south, RoundTripKind::PeerMessage, ms(117), after(20_000));
+    assert_eq!(distances.congestion("south", after(20_000)), Duration::ZERO);
 }
 
 fn replica(distance_ms: u64, latency_ms: u64, running: u32) -> Candidate {
