Refuse statements whose turn is just before the end of their wait

Cause: turns of a limited pace are noticed by the check every 20 ms, so a statement whose turn came in the last 20 ms of its wait was admitted and then refused at its end.

--- a/crates/gateway/src/traffic/pool_queue.rs
+++ b/crates/gateway/src/traffic/pool_queue.rs
@@ -17,6 +17,9 @@
 use wasabiyard_model::{PriorityClass, Time};
 use wasabiyard_schedule::QueuedRequest;
 
+/// Time after its turn by which a statement at a paced server is sent: such turns are noticed by a periodic check.
+const MAX_DISPATCH_DELAY: Duration = Duration::from_millis(25);
+
 /// A request of a session for a connection.
 #[derive(Debug, Clone)]
 pub(super) struct LeaseRequest<'a> {
@@ -100,7 +103,7 @@
             .queue(queue_kind)
             .requests_ahead(lease_request.organisation, 1, lease_request.class);
         let turn = pool.paced_turn(queue_kind, ahead, now);
-        if turn >= wait_deadline {
+        if turn > now && turn + MAX_DISPATCH_DELAY >= wait_deadline {
             self.metrics.on_pace_refusal(lease_request.service);
             return Err(PoolError::Overloaded {
                 retry_after: turn.saturating_since(now),
