Pass usage counts through the store where messages do not arrive

An instance that is cut off from the holder of the failover lease, while both reach the store, was missing from each report. It now leaves its unacknowledged counts in the store 1.5 s before the window is reported without them; the holder finds them when it reads the records. Ruled out: relaying by a third instance, which fails where a failure domain is cut off from all others.

--- a/crates/gateway/src/control/control_loop.rs
+++ b/crates/gateway/src/control/control_loop.rs
@@ -4,7 +4,7 @@
 use super::state::ControlState;
 use super::store_calls::StoreCalls;
 use super::usage_task::{UsageContext, UsageState};
-use crate::usage::UsageMessage;
+use crate::usage::{UsageMessage, WindowCounts};
 use crate::view::{ViewCursor, ViewPage};
 use crate::{ClusterSnapshot, Connector, Discovery, PeerMessage, PrimaryRecord, Promoter, clock};
 use arc_swap::ArcSwap;
@@ -52,6 +52,8 @@
         /// The counts.
         message: UsageMessage,
     },
+    /// Usage counts of this instance that the holder of the failover lease has not acknowledged in time.
+    UsageNotReceived(Vec<WindowCounts>),
     /// A follower requests the changes since its last page from this relay.
     ViewRequest {
         /// The follower.
@@ -218,6 +220,7 @@
                     request_id,
                     cursor,
                 } => self.serve_view(from, request_id, &cursor),
+                ControlEvent::UsageNotReceived(windows) => self.store_counts_later(windows),
                 ControlEvent::Usage {
                     from,
                     incarnation,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -24,6 +24,7 @@
 mod store_reads;
 mod successor;
 mod successor_search;
+mod usage_counts_in_store;
 mod usage_task;
 mod view_requests;
 
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -2,6 +2,7 @@
 
 use super::FailoverLeaseRecord;
 use crate::PrimaryRecord;
+use crate::usage::StoredCounts;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -14,6 +15,7 @@
 const INSTANCE_PREFIX: &str = "instance-";
 const PRIMARY_PREFIX: &str = "primary-";
 const FAILOVER_LEASE_NAME: &str = "duty";
+const USAGE_COUNTS_PREFIX: &str = "counts-";
 const USAGE_NAME: &str = "usage";
 const PEER_SECRET_NAME: &str = "secret";
 
@@ -31,6 +33,8 @@
     pub(super) instances: HashMap<Arc<str>, (Version, ListedInstance)>,
     pub(super) failover_lease: Option<(Version, FailoverLeaseRecord)>,
     pub(super) secret_record: Option<PeerSecretRecord>,
+    /// Usage counts that the holder of the failover lease did not receive, by instance.
+    pub(super) usage_counts: HashMap<Arc<str>, (Version, StoredCounts)>,
 }
 
 pub(super) fn instance_key(name: &str) -> String {
@@ -45,6 +49,10 @@
     format!("{KEY_PREFIX}{FAILOVER_LEASE_NAME}")
 }
 
+pub(super) fn usage_counts_key(instance: &str) -> String {
+    format!("{KEY_PREFIX}{USAGE_COUNTS_PREFIX}{instance}")
+}
+
 pub(super) fn usage_key() -> String {
     format!("{KEY_PREFIX}{USAGE_NAME}")
 }
@@ -71,6 +79,12 @@
                         .instances
                         .insert(Arc::from(instance), (object.version, record));
                 }
+            } else if let Some(instance) = name.strip_prefix(USAGE_COUNTS_PREFIX) {
+                if let Some(record) = decode(object) {
+                    records
+                        .usage_counts
+                        .insert(Arc::from(instance), (object.version, record));
+                }
             } else if name == FAILOVER_LEASE_NAME {
                 records.failover_lease = decode(object).map(|record| (object.version, record));
             } else if name == PEER_SECRET_NAME {
--- a/crates/gateway/src/control/registration.rs
+++ b/crates/gateway/src/control/registration.rs
@@ -26,6 +26,7 @@
     /// missing. Returns whether the records contained the current entry of this instance.
     pub(super) async fn process_records(&self, revision: u64, records: &Records, as_of: Time) -> bool {
         let has_secret = records.secret_record.is_some();
+        self.on_stored_counts(records);
         let registered = self.apply_records(revision, records, as_of);
         if !has_secret {
             self.create_peer_secret().await;
--- a/crates/gateway/src/control/usage_task.rs
+++ b/crates/gateway/src/control/usage_task.rs
@@ -5,6 +5,7 @@
 use super::control_loop::{ControlThread, OutboundMessage};
 use super::records;
 use super::store_calls::StoreCallKind;
+use super::usage_counts_in_store::CountsInStore;
 use crate::usage::{
     ClockAgreement, Collected, ReportCounters, ReportEvent, ReportStep, SharedFleetClock, UnixTime,
     UsageCollector, UsageMessage, UsageReceipt, UsageRecord, UsageReporter, UsageSettings, UsageStatus,
@@ -41,13 +42,14 @@
 /// Counts of all instances, and reports of them.
 #[derive(Debug)]
 pub(super) struct UsageState {
-    cx: UsageContext,
-    collector: UsageCollector,
+    pub(super) cx: UsageContext,
+    pub(super) collector: UsageCollector,
     agreement: ClockAgreement,
     reporter: UsageReporter,
     /// Fencing token with which this holder has announced itself.
     announced: Option<u64>,
     requested_at: Time,
+    pub(super) in_store: CountsInStore,
 }
 
 impl UsageState {
@@ -59,11 +61,12 @@
             agreement: ClockAgreement::default(),
             announced: None,
             requested_at: Time::ZERO,
+            in_store: CountsInStore::default(),
         }
     }
 
     /// The true time at `now`; `None` while it is not known.
-    fn unix_time(&self, now: Time) -> Option<UnixTime> {
+    pub(super) fn unix_time(&self, now: Time) -> Option<UnixTime> {
         let clock = self.cx.clock.lock();
         clock.support().map(|_| clock.unix_time(now))
     }
@@ -92,9 +95,11 @@
         }
         loop {
             Timer::after(REPORT_CHECK_PERIOD).await;
+            self.write_counts_to_store().await;
             let Some(fence) = self.held_fence() else {
                 continue;
             };
+            self.remove_stored_counts().await;
             self.collect_usage(fence, clock::now());
             let Some(step) = self.next_report_step(clock::now()) else {
                 continue;
--- a/crates/gateway/src/gateway/usage.rs
+++ b/crates/gateway/src/gateway/usage.rs
@@ -52,6 +52,10 @@
             Timer::after(SEND_PERIOD).await;
             let now = clock::now();
             usage.counter.borrow_mut().advance(now);
+            let to_store = usage.sender.borrow_mut().to_store(&usage.counter.borrow(), now);
+            if let Some(windows) = to_store {
+                self.notify_control(ControlEvent::UsageNotReceived(windows));
+            }
             let Some(target) = self.usage_target(now) else {
                 continue;
             };
--- a/crates/gateway/src/usage/mod.rs
+++ b/crates/gateway/src/usage/mod.rs
@@ -17,6 +17,7 @@
 mod reporter;
 mod sender;
 mod settings;
+mod stored_counts;
 mod unix_time;
 mod window_id;
 
@@ -31,6 +32,7 @@
 pub use reporter::{Collected, ReportStep, UsageRecord, UsageReporter, WriteOutcome};
 pub use sender::UsageSender;
 pub use settings::UsageSettings;
+pub use stored_counts::StoredCounts;
 pub use unix_time::UnixTime;
 pub use window_id::WindowId;
 
--- a/crates/gateway/src/usage/sender.rs
+++ b/crates/gateway/src/usage/sender.rs
@@ -10,6 +10,8 @@
 
 /// Longest time after the end of a window at which an instance sends its final counts, by a hash of its id, so that not all send at once.
 const MAX_STAGGER: Duration = Duration::from_millis(400);
+/// Time after which final counts without a receipt are taken for not received.
+const RECEIPT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause before final counts without a receipt are sent again.
 const RESEND_PERIOD: Duration = Duration::from_secs(1);
 /// Interval between messages for the time of the fleet, while it is not known.
@@ -18,6 +20,8 @@
 const HOLDER_TIMEOUT: Duration = Duration::from_secs(4);
 /// Number of windows whose final counts are sent at once, the oldest first. After an outage there may be many.
 const MAX_FINAL_WINDOWS_AT_ONCE: usize = 2;
+/// Number of windows whose counts are left in the store, the newest ones.
+const MAX_STORED_WINDOWS: usize = 4;
 /// Bytes of counts in one message. A datagram holds 16 KiB with the rest of the message.
 const MAX_COUNTS_BYTES: usize = 12 * 1024;
 /// Bytes of one count besides the name: two headers and the number.
@@ -31,6 +35,14 @@
     heard_at: Time,
 }
 
+/// When final counts were sent to the target.
+#[derive(Debug, Clone, Copy)]
+struct FinalSent {
+    first: Time,
+    /// The last time, unless the target has asked for them since.
+    last: Option<Time>,
+}
+
 /// State of sending the counts of this instance.
 #[derive(Debug)]
 pub struct UsageSender {
@@ -40,12 +52,13 @@
     target: Option<InstanceId>,
     /// Windows whose final counts the target has.
     delivered: BTreeSet<WindowId>,
-    /// When final counts were last sent to the target.
-    final_sent: BTreeMap<WindowId, Time>,
+    final_sent: BTreeMap<WindowId, FinalSent>,
     /// Sums of the interim counts sent to the target.
     interim_sums: BTreeMap<WindowId, u64>,
     interim_sent: Time,
     time_requested: Time,
+    /// Newest window whose counts were left in the store.
+    stored: Option<WindowId>,
 }
 
 impl UsageSender {
@@ -61,6 +74,7 @@
             interim_sums: BTreeMap::new(),
             interim_sent: Time::ZERO,
             time_requested: Time::ZERO,
+            stored: None,
         }
     }
 
@@ -110,12 +124,16 @@
             }
             let is_early = unix_now < counter.settings().end_of(*window) + self.stagger;
             let sent = self.final_sent.get(window);
-            let is_recent = sent.is_some_and(|at| now.saturating_since(*at) < RESEND_PERIOD);
+            let is_recent = sent
+                .and_then(|sent| sent.last)
+                .is_some_and(|at| now.saturating_since(at) < RESEND_PERIOD);
             if is_early || is_recent || self.delivered.contains(window) {
                 continue;
             }
             windows_sent += 1;
-            self.final_sent.insert(*window, now);
+            let first = sent.map_or(now, |sent| sent.first);
+            let last = Some(now);
+            self.final_sent.insert(*window, FinalSent { first, last });
             let parts = split(*window, since, Some(counts.len() as u32), counts);
             messages.extend(parts.into_iter().map(|part| message(Some(part))));
         }
@@ -133,6 +151,32 @@
         messages
     }
 
+    /// Counts to leave in the store, once for each window that the target has not acknowledged in time.
+    pub fn to_store(&mut self, counter: &UsageCounter, now: Time) -> Option<Vec<WindowCounts>> {
+        let since = counter.since()?;
+        let unix_now = counter.unix_time(now);
+        let is_overdue = |window: &WindowId| {
+            let sent = self.final_sent.get(window);
+            let is_lost = sent.is_some_and(|sent| now.saturating_since(sent.first) >= RECEIPT_TIMEOUT);
+            is_lost
+                && !self.delivered.contains(window)
+                && unix_now >= counter.settings().store_counts(*window)
+        };
+        let windows = counter.final_windows().iter().rev();
+        let mut overdue: Vec<_> = windows
+            .filter(|(window, _)| is_overdue(window))
+            .take(MAX_STORED_WINDOWS)
+            .map(|(window, counts)| whole(*window, since, Some(counts.len() as u32), counts))
+            .collect();
+        overdue.reverse();
+        let newest = overdue.last()?.window;
+        if self.stored >= Some(newest) {
+            return None;
+        }
+        self.stored = Some(newest);
+        Some(overdue)
+    }
+
     /// Final counts that the target is not known to have, for an instance that stops.
     pub fn undelivered(&self, counter: &UsageCounter, wall: UnixTime, now: Time) -> Vec<UsageMessage> {
         let Some(since) = counter.since() else {
@@ -169,7 +213,7 @@
         match status.receipt {
             Some(receipt) => self.delivered.extend(receipt.complete),
             // The holder asks for what it lacks.
-            None => self.forget_sent(),
+            None => self.final_sent.values_mut().for_each(|sent| sent.last = None),
         }
         true
     }
@@ -190,6 +234,22 @@
     }
 }
 
+/// All counts of a window in one piece.
+fn whole(
+    window: WindowId,
+    since: WindowId,
+    organisations: Option<u32>,
+    counts: &OrganisationCounts,
+) -> WindowCounts {
+    let counts = counts.iter().map(|(name, count)| (Arc::clone(name), *count));
+    WindowCounts {
+        window,
+        since,
+        organisations,
+        counts: counts.collect(),
+    }
+}
+
 /// Divides the counts of a window among as many messages as they need.
 fn split(
     window: WindowId,
--- a/crates/gateway/src/usage/settings.rs
+++ b/crates/gateway/src/usage/settings.rs
@@ -5,6 +5,9 @@
 
 /// Time before a report is due that is left for recording and sending it.
 const REPORT_LEAD: Duration = Duration::from_secs(3);
+/// Time before the latest report of a window in which the holder finds counts that are left in the store. It reads the records about
+/// once a second.
+const STORED_COUNTS_LEAD: Duration = Duration::from_millis(1_500);
 /// Shortest interval between two interim counts of an open window.
 const MIN_INTERIM_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -37,6 +40,11 @@
         self.end_of(window) + self.delay.saturating_sub(REPORT_LEAD).max(self.delay / 2)
     }
 
+    /// When an instance leaves its counts of a window in the store, if the holder has not acknowledged them.
+    pub fn store_counts(&self, window: WindowId) -> UnixTime {
+        self.latest_report(window) - STORED_COUNTS_LEAD
+    }
+
     /// When the report of a window is due.
     pub fn due(&self, window: WindowId) -> UnixTime {
         self.end_of(window) + self.delay
--- a/crates/gateway/tests/usage_counts.rs
+++ b/crates/gateway/tests/usage_counts.rs
@@ -298,3 +298,44 @@
     counter.borrow_mut().on_recorded(FIRST);
     assert_eq!(due(&mut sender, &target, 9_900), [], "recorded");
 }
+
+/// An instance whose messages do not reach the holder, while both reach the store, would be missing from every report.
+#[test]
+fn counts_that_the_holder_does_not_acknowledge_go_to_the_store_once() {
+    let counter = counter(agreed_clock());
+    let mut sender = UsageSender::new(&InstanceId::from("a"));
+    let holder = InstanceId::from("holder");
+    let mut stored = Vec::new();
+    for ms in (0..22_000).step_by(100) {
+        let now = at_ms(ms);
+        let mut counted = operation(&counter);
+        counted.on_send(now);
+        drop(counted);
+        counter.borrow_mut().advance(now);
+        sender.due(&counter.borrow(), &holder, 7, START_UNIX, now);
+        if ms % 1_000 == 0 {
+            // The holder asks for the counts, and its messages arrive.
+            let status = UsageStatus {
+                fence: 1,
+                recorded: None,
+                time: None,
+                receipt: None,
+            };
+            assert!(sender.on_status(&holder, &status, now));
+        }
+        if let Some(windows) = sender.to_store(&counter.borrow(), now) {
+            let counts: Vec<_> = windows.iter().map(|w| (w.window, w.counts[0].1)).collect();
+            stored.push((ms, counts));
+        }
+    }
+    let window = |k, count| (FIRST.plus(k), count);
+    let first = vec![window(0, 50)];
+    let second = vec![window(0, 50), window(1, 50)];
+    let third = vec![window(0, 50), window(1, 50), window(2, 50)];
+    assert_eq!(stored, [(10_500, first), (15_500, second), (20_500, third)]);
+    // A new holder gets time to acknowledge before the store is used again.
+    let mut sender = UsageSender::new(&InstanceId::from("a"));
+    let now = at_ms(22_000);
+    sender.due(&counter.borrow(), &holder, 7, START_UNIX, now);
+    assert_eq!(sender.to_store(&counter.borrow(), now), None);
+}
