--- a/crates/gateway/src/control/usage_task.rs
+++ b/crates/gateway/src/control/usage_task.rs
@@ -201,6 +201,10 @@
         let own_entry = &self.settings.instance;
         let lease = self.usage.as_ref()?.borrow().cx.settings.lease;
         let state = self.state.borrow();
+        if state.stopping {
+            // The lease may have been released.
+            return None;
+        }
         state
             .failover_lease
             .held_fence_in_turn(own_entry.id.as_str(), own_entry.incarnation, lease, now)
--- a/crates/gateway/src/usage/mod.rs
+++ b/crates/gateway/src/usage/mod.rs
@@ -38,4 +38,4 @@
 
 /// Number of ended windows that are kept until their report is recorded, which bounds the memory in an outage of the store or of
 /// the service that takes the reports.
-pub const MAX_KEPT_WINDOWS: u64 = 120;
+pub const MAX_KEPT_WINDOWS: u64 = 60;
