--- a/crates/gateway/src/gateway/callers.rs
+++ b/crates/gateway/src/gateway/callers.rs
@@ -85,6 +85,8 @@
                 }
             };
             let answer = session.handle(&req).await;
+            // A caller that does not read must not make the instance hold its statement as well.
+            drop(req);
             link.send(&answer).await?;
         }
     }
