--- a/crates/gateway/src/budget/caller_slots.rs
+++ b/crates/gateway/src/budget/connection_slots.rs
@@ -1,7 +1,7 @@
-//! Bounds the number of connections of callers.
+//! Bounds the number of connections to a port.
 //!
-//! When all slots are taken, the connection that has waited longest without a login is closed for a new one; sessions are
-//! kept.
+//! A connection is provisional until it is kept, as that of a caller is at its login. When all slots are taken, the
+//! provisional connection that has been open longest is closed for a new one.
 
 use super::accounts::Closable;
 use std::cell::{Cell, RefCell};
@@ -12,9 +12,9 @@
 /// Connections that may be open beyond the limit while those that were closed for them end.
 const MAX_ENDING: usize = 16;
 
-/// The slots of an instance.
+/// The slots of a port.
 #[derive(Clone)]
-pub struct CallerSlots {
+pub struct ConnectionSlots {
     inner: Rc<Inner>,
 }
 
@@ -24,20 +24,20 @@
     /// Connections that were closed for others and have not ended.
     ending: Cell<usize>,
     next_id: Cell<u64>,
-    /// Connections without a login, in the order of their arrival.
-    without_login: RefCell<BTreeMap<u64, Rc<dyn Closable>>>,
+    /// Provisional connections in the order of their arrival.
+    provisional: RefCell<BTreeMap<u64, Rc<dyn Closable>>>,
 }
 
-impl fmt::Debug for CallerSlots {
+impl fmt::Debug for ConnectionSlots {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("CallerSlots")
+        f.debug_struct("ConnectionSlots")
             .field("limit", &self.inner.limit)
             .field("open", &self.inner.open)
             .finish_non_exhaustive()
     }
 }
 
-impl CallerSlots {
+impl ConnectionSlots {
     /// Slots for `limit` connections.
     pub fn new(limit: usize) -> Self {
         Self {
@@ -46,30 +46,30 @@
                 open: Cell::new(0),
                 ending: Cell::new(0),
                 next_id: Cell::new(0),
-                without_login: RefCell::default(),
+                provisional: RefCell::default(),
             }),
         }
     }
 
-    /// Takes a slot for a new connection; `None` if all are taken by sessions or by connections that are ending.
-    pub fn take(&self, connection: Rc<dyn Closable>) -> Option<CallerSlot> {
+    /// Takes a slot for a new connection; `None` if all are taken by kept connections or by connections that are ending.
+    pub fn take(&self, connection: Rc<dyn Closable>) -> Option<ConnectionSlot> {
         let inner = &self.inner;
         if inner.open.get() - inner.ending.get() >= inner.limit {
             if inner.ending.get() >= MAX_ENDING {
                 return None;
             }
-            let (_, longest) = inner.without_login.borrow_mut().pop_first()?;
+            let (_, longest) = inner.provisional.borrow_mut().pop_first()?;
             inner.ending.set(inner.ending.get() + 1);
             longest.close();
         }
         let id = inner.next_id.get();
         inner.next_id.set(id + 1);
         inner.open.set(inner.open.get() + 1);
-        inner.without_login.borrow_mut().insert(id, connection);
-        Some(CallerSlot {
+        inner.provisional.borrow_mut().insert(id, connection);
+        Some(ConnectionSlot {
             slots: self.clone(),
             id,
-            logged_in: Cell::new(false),
+            kept: Cell::new(false),
         })
     }
 
@@ -81,26 +81,26 @@
 
 /// The slot of one connection. Dropping it frees the slot.
 #[derive(Debug)]
-pub struct CallerSlot {
-    slots: CallerSlots,
+pub struct ConnectionSlot {
+    slots: ConnectionSlots,
     id: u64,
-    logged_in: Cell<bool>,
+    kept: Cell<bool>,
 }
 
-impl CallerSlot {
-    /// Keeps the connection from being closed for others. Returns whether it was not closed yet.
-    pub fn on_login(&self) -> bool {
-        let removed = self.slots.inner.without_login.borrow_mut().remove(&self.id);
-        self.logged_in.set(removed.is_some());
+impl ConnectionSlot {
+    /// Keeps the connection from being closed for others. Returns false if it was closed before.
+    pub fn keep(&self) -> bool {
+        let removed = self.slots.inner.provisional.borrow_mut().remove(&self.id);
+        self.kept.set(removed.is_some());
         removed.is_some()
     }
 }
 
-impl Drop for CallerSlot {
+impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         let inner = &self.slots.inner;
-        let waited = inner.without_login.borrow_mut().remove(&self.id).is_some();
-        if !waited && !self.logged_in.get() {
+        let waited = inner.provisional.borrow_mut().remove(&self.id).is_some();
+        if !waited && !self.kept.get() {
             inner.ending.set(inner.ending.get() - 1);
         }
         inner.open.set(inner.open.get() - 1);
--- a/crates/gateway/tests/memory_budget.rs
+++ b/crates/gateway/tests/memory_budget.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wasabiyard_gateway::budget::{
-    CallerSlots, Closable, Decision, MemoryAccounts, MemoryBudget, Purpose, ResourceLimits,
+    Closable, ConnectionSlots, Decision, MemoryAccounts, MemoryBudget, Purpose, ResourceLimits,
 };
 use wasabiyard_model::Time;
 
@@ -117,7 +117,7 @@
 /// Connections without a login must not keep sessions out, and sessions are not closed for newcomers.
 #[test]
 fn the_longest_wait_for_a_login_ends_for_a_newcomer() {
-    let slots = CallerSlots::new(2);
+    let slots = ConnectionSlots::new(2);
     let open = || {
         let connection = Rc::new(Connection::default());
         let slot = slots.take(Rc::clone(&connection) as Rc<dyn Closable>);
@@ -126,15 +126,15 @@
     let (idle, idle_slot) = open();
     let (session, session_slot) = open();
     let session_slot = session_slot.expect("a free slot");
-    assert!(session_slot.on_login());
+    assert!(session_slot.keep());
     let (_newcomer, newcomer_slot) = open();
-    assert!(newcomer_slot.is_some_and(|slot| slot.on_login()));
+    assert!(newcomer_slot.is_some_and(|slot| slot.keep()));
     assert!(idle.0.get());
     assert!(!session.0.get());
-    assert!(idle_slot.is_some_and(|slot| !slot.on_login()), "it was closed");
+    assert!(idle_slot.is_some_and(|slot| !slot.keep()), "it was closed");
     let (_, replacement) = open();
     let replacement = replacement.expect("the slot of the connection that ended");
-    assert!(replacement.on_login());
+    assert!(replacement.keep());
     assert!(open().1.is_none(), "only sessions are left");
 }
 
