--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -208,17 +208,7 @@
             Rc::clone(&metrics),
             Rc::clone(executor),
         );
-        let sharing = ConnectionSharing::new(
-            settings.sharing,
-            registration,
-            Arc::clone(&snapshot),
-            Rc::clone(executor),
-        );
-        pool.enable_sharing(Rc::clone(&sharing));
-        if let Err(e) = sharing.listen(settings.peers, Rc::clone(&pool) as Rc<dyn LeaseServer>) {
-            // The others use direct connections to the servers that this instance would hold.
-            log::warn!(address:% = settings.peers, error:% = e; "cannot listen for links of other instances");
-        }
+        let sharing = open_sharing(&settings, &pool, &snapshot, executor);
         let limiter_state = RateLimiterState::new(registration.id.clone(), settings.runtime.rate_tolerance);
         let peers = Peers {
             socket,
@@ -348,3 +338,27 @@
         }
     }
 }
+
+/// Lets the pool use connections of other instances, and serves those that this instance holds.
+fn open_sharing<C>(
+    settings: &GatewaySettings,
+    pool: &Rc<Pool<C>>,
+    snapshot: &Arc<ArcSwap<ClusterSnapshot>>,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> Rc<ConnectionSharing>
+where
+    C: Connector + 'static,
+{
+    let sharing = ConnectionSharing::new(
+        settings.sharing,
+        &settings.instance,
+        Arc::clone(snapshot),
+        Rc::clone(executor),
+    );
+    pool.enable_sharing(Rc::clone(&sharing));
+    if let Err(e) = sharing.listen(settings.peers, Rc::clone(pool) as Rc<dyn LeaseServer>) {
+        // The others use direct connections to the servers that this instance would hold.
+        log::warn!(address:% = settings.peers, error:% = e; "cannot listen for links of other instances");
+    }
+    sharing
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `rate` limits the operations of organisations over all instances.
 //! - `view` replicates what a few instances read from the store to the others.
 //! - `usage` counts operations and decides what is reported of them.
+//! - `budget` bounds the memory and the descriptors that callers can take.
 //! - `peer` carries messages between instances.
 //! - `sharing` lets instances use the backend connections of one that holds them.
 //!
@@ -14,6 +15,7 @@
 
 mod answer;
 mod backend_server;
+pub mod budget;
 mod caller_error;
 pub mod clock;
 mod cluster_snapshot;
@@ -42,7 +44,7 @@
 pub use configuration::{Configuration, Freshness, OrganisationRule, OverloadOrder, RouteRule, ServiceRule};
 pub use connection::{
     CallerLink, Command, ConnectOutcome, ConnectionError, Connector, IdleState, Login, ServerConnection,
-    ServerStatus, Target,
+    ServerStatus, ShedCause, Target,
 };
 pub use connection_state::{Adjustment, ConnectionState, SessionValues};
 pub use discovery::{
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,11 +1,21 @@
 //! Counters and latency histograms of an instance, exported in the Prometheus text format.
 
-use crate::CallerError;
-use crate::control::{StoreCallKind, StoreCalls};
-use crate::traffic::PaceEvent;
-use crate::usage::{ReportCounters, ReportEvent};
+mod class_metrics;
+mod holder_metrics;
+mod instruments;
+mod placement_metrics;
+
+use class_metrics::ClassMetrics;
+use holder_metrics::HolderMetrics;
+use instruments::Instruments;
+use placement_metrics::PlacementMetrics;
+
+use crate::budget::{MemoryAccounts, Purpose};
+use crate::control::StoreCalls;
+use crate::usage::ReportCounters;
+use crate::{CallerError, ShedCause};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -17,9 +27,6 @@
 use thiserror::Error;
 use wasabiyard_model::PriorityClass;
 
-/// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BOUNDS_S: [f64; 12] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0];
-
 /// Failure to set up or export metrics.
 #[derive(Debug, Error)]
 pub enum MetricsError {
@@ -105,21 +112,16 @@
     latency: Histogram<f64>,
     connection_waits: Histogram<f64>,
     placements: Counter<u64>,
-    class_placements: Counter<u64>,
-    class_refusals: Counter<u64>,
-    server_refusals: Counter<u64>,
     connects: Counter<u64>,
     retries: Counter<u64>,
     logins_refused: Counter<u64>,
     stray_answers: Counter<u64>,
-    paces: Counter<u64>,
-    pace_refusals: Counter<u64>,
-    crossings: Counter<u64>,
-    crossing_refusals: Counter<u64>,
     malformed_messages: Counter<u64>,
-    held_leases: Counter<u64>,
-    gate_waits: Histogram<f64>,
-    relayed: Counter<u64>,
+    classes: ClassMetrics,
+    placement: PlacementMetrics,
+    holder: HolderMetrics,
+    callers_shed: Counter<u64>,
+    memory_claimed: Gauge<u64>,
     sessions: Arc<AtomicUsize>,
     store_calls: Arc<StoreCalls>,
     usage_reports: Arc<ReportCounters>,
@@ -146,123 +148,55 @@
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("wasabiyard");
-        let counter = |name, help| meter.u64_counter(name).with_description(help).build();
-        let histogram = |name, help| {
-            meter
-                .f64_histogram(name)
-                .with_description(help)
-                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-                .build()
-        };
-        let sessions = Arc::new(AtomicUsize::new(0));
-        let count = Arc::clone(&sessions);
-        meter
-            .u64_observable_gauge("wasabiyard_sessions")
-            .with_description("Callers connected")
-            .with_callback(move |observer| observer.observe(count.load(Ordering::Relaxed) as u64, &[]))
-            .build();
-        let store_calls = Arc::new(StoreCalls::default());
-        let counted = Arc::clone(&store_calls);
-        meter
-            .u64_observable_counter("wasabiyard_store_calls")
-            .with_description("Calls to the store, by kind")
-            .with_callback(move |observer| {
-                for kind in StoreCallKind::ALL {
-                    observer.observe(counted.count(kind), &[KeyValue::new("kind", kind.name())]);
-                }
-            })
-            .build();
-        let usage_reports = Arc::new(ReportCounters::default());
-        let counted = Arc::clone(&usage_reports);
-        meter
-            .u64_observable_counter("wasabiyard_usage_reports")
-            .with_description("Usage reports by this instance as the holder of the failover lease, by event")
-            .with_callback(move |observer| {
-                for event in ReportEvent::ALL {
-                    let count = counted.count(event);
-                    if count > 0 {
-                        observer.observe(count, &[KeyValue::new("event", event.name())]);
-                    }
-                }
-            })
-            .build();
+        let instruments = Instruments::new(meter);
         Ok(Rc::new(Self {
-            statements: counter(
+            statements: instruments.counter(
                 "wasabiyard_statements",
                 "Statements answered, by service, kind and outcome",
             ),
-            latency: histogram(
+            latency: instruments.histogram(
                 "wasabiyard_statement_seconds",
                 "Time from a request to its answer, by service and kind",
             ),
-            connection_waits: histogram(
+            connection_waits: instruments.histogram(
                 "wasabiyard_connection_wait_seconds",
                 "Time until a backend connection was had, by service",
             ),
-            placements: counter(
+            placements: instruments.counter(
                 "wasabiyard_placements",
                 "Statements sent to backend servers, by service and role of the server",
             ),
-            class_placements: counter(
-                "wasabiyard_class_placements",
-                "Statements and transactions that got a backend connection, by service, class and role of the server",
-            ),
-            class_refusals: counter(
-                "wasabiyard_class_refusals",
-                "Statements and transactions that got no backend connection, by service, class and cause",
-            ),
-            server_refusals: counter(
-                "wasabiyard_server_refusals",
-                "Statements that a backend server refused as overloaded, by service and class",
-            ),
-            connects: counter(
+            connects: instruments.counter(
                 "wasabiyard_connects",
                 "Attempts to open a backend connection, by service and result",
             ),
-            retries: counter(
+            retries: instruments.counter(
                 "wasabiyard_retries",
                 "Statements tried again by the instance, by service and cause",
             ),
-            logins_refused: counter("wasabiyard_logins_refused", "Logins refused, by error"),
-            stray_answers: counter(
+            logins_refused: instruments.counter("wasabiyard_logins_refused", "Logins refused, by error"),
+            stray_answers: instruments.counter(
                 "wasabiyard_stray_answers",
                 "Answers of backend servers that belong to no command, by service and cause",
             ),
-            paces: counter(
-                "wasabiyard_paces",
-                "Limited paces at backend servers that began or ended, by service, event and cause",
-            ),
-            pace_refusals: counter(
-                "wasabiyard_pace_refusals",
-                "Statements refused because the pace at their server cannot serve them in time, by service",
-            ),
-            crossings: counter(
-                "wasabiyard_crossings",
-                "Backend connections leased in another region, by service",
-            ),
-            crossing_refusals: counter(
-                "wasabiyard_crossing_refusals",
-                "Statements refused because the link to another region is congested, by service",
-            ),
-            malformed_messages: counter(
+            malformed_messages: instruments.counter(
                 "wasabiyard_malformed_messages",
                 "Messages of callers that violate the protocol, by service",
             ),
-            held_leases: counter(
-                "wasabiyard_held_leases",
-                "Connections leased by this instance as a connection holder, by service and result",
+            callers_shed: instruments.counter(
+                "wasabiyard_callers_shed",
+                "Connections of callers refused or closed to keep to the limits of the instance, by cause",
             ),
-            gate_waits: histogram(
-                "wasabiyard_gate_wait_seconds",
-                "Time that new work waited at this instance as a connection holder, by service",
+            memory_claimed: instruments.gauge(
+                "wasabiyard_memory_claimed_bytes",
+                "Memory claimed for callers, by purpose",
             ),
-            relayed: counter(
-                "wasabiyard_relayed",
-                "Commands sent through a connection holder, by service and result",
-            ),
-            sessions,
-            store_calls,
-            usage_reports,
+            classes: ClassMetrics::new(&instruments),
+            placement: PlacementMetrics::new(&instruments),
+            holder: HolderMetrics::new(&instruments),
+            sessions: instruments.sessions(),
+            store_calls: instruments.store_calls(),
+            usage_reports: instruments.usage_reports(),
             registry,
             _provider: provider,
         }))
@@ -290,24 +224,10 @@
         let role = KeyValue::new("role", if primary { "primary" } else { "replica" });
         self.connection_waits
             .record(waited.as_secs_f64(), std::slice::from_ref(&service));
-        self.class_placements
-            .add(1, &[service.clone(), class_label(class), role.clone()]);
+        self.on_class_placed(&service, class, &role);
         self.placements.add(1, &[service, role]);
     }
 
-    /// Records that a statement or transaction got no backend connection.
-    pub fn on_not_placed(&self, service: &str, class: PriorityClass, cause: &'static str) {
-        let service = KeyValue::new("service", service.to_owned());
-        let cause = KeyValue::new("cause", cause);
-        self.class_refusals.add(1, &[service, class_label(class), cause]);
-    }
-
-    /// Records that a backend server refused a statement as overloaded.
-    pub fn on_server_refusal(&self, service: &str, class: PriorityClass) {
-        let service = KeyValue::new("service", service.to_owned());
-        self.server_refusals.add(1, &[service, class_label(class)]);
-    }
-
     /// Records the result of an attempt to connect to a backend server.
     pub fn on_connect(&self, service: &str, result: ConnectResult) {
         let service = KeyValue::new("service", service.to_owned());
@@ -338,63 +258,24 @@
         self.stray_answers.add(u64::from(count), &[service, cause]);
     }
 
-    /// Records the begin or end of a limited pace at a backend server.
-    pub fn on_pace(&self, service: &str, event: &PaceEvent) {
-        let service = KeyValue::new("service", service.to_owned());
-        let (event, cause) = match event {
-            PaceEvent::Began { cause, .. } => ("began", cause.name()),
-            PaceEvent::Ended { cause, .. } => ("ended", cause.name()),
-        };
-        let event = KeyValue::new("event", event);
-        self.paces
-            .add(1, &[service, event, KeyValue::new("cause", cause)]);
-    }
-
-    /// Records a statement that is refused because the pace at its server cannot serve it in time.
-    pub fn on_pace_refusal(&self, service: &str) {
-        self.pace_refusals
-            .add(1, &[KeyValue::new("service", service.to_owned())]);
-    }
-
-    /// Records the lease of a backend connection in another region.
-    pub fn on_crossing(&self, service: &str) {
-        self.crossings
-            .add(1, &[KeyValue::new("service", service.to_owned())]);
-    }
-
-    /// Records a statement that is refused because the link to another region is congested.
-    pub fn on_crossing_refusal(&self, service: &str) {
-        self.crossing_refusals
-            .add(1, &[KeyValue::new("service", service.to_owned())]);
-    }
-
     /// Records a message of a caller that violates the protocol.
     pub fn on_malformed_message(&self, service: &str) {
         let service = KeyValue::new("service", service.to_owned());
         self.malformed_messages.add(1, &[service]);
     }
 
-    /// Records a lease of a connection that this instance holds.
-    pub fn on_held_lease(&self, service: &str, result: HeldLeaseResult) {
-        let service = KeyValue::new("service", service.to_owned());
-        let result = match result {
-            HeldLeaseResult::Idle => "idle",
-            HeldLeaseResult::Opened => "opened",
-        };
-        self.held_leases
-            .add(1, &[service, KeyValue::new("result", result)]);
-    }
-
-    /// Records that new work was let through to a held server after `waited`.
-    pub fn on_gate_wait(&self, service: &str, waited: Duration) {
-        let service = KeyValue::new("service", service.to_owned());
-        self.gate_waits.record(waited.as_secs_f64(), &[service]);
+    /// Records a connection of a caller that was refused or closed to keep to the limits of the instance.
+    pub fn on_caller_shed(&self, cause: ShedCause) {
+        self.callers_shed.add(1, &[KeyValue::new("cause", cause.name())]);
     }
 
-    /// Records the result of a command that was sent through a connection holder.
-    pub fn on_relayed(&self, service: &str, result: &'static str) {
-        let service = KeyValue::new("service", service.to_owned());
-        self.relayed.add(1, &[service, KeyValue::new("result", result)]);
+    /// Records the memory that is claimed for callers, before the metrics are encoded.
+    pub fn on_memory_claimed(&self, accounts: &MemoryAccounts) {
+        for purpose in Purpose::ALL {
+            let label = KeyValue::new("purpose", purpose.name());
+            self.memory_claimed
+                .record(accounts.used(purpose) as u64, &[label]);
+        }
     }
 
     /// Records a new caller connection.
@@ -431,8 +312,3 @@
         Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
     }
 }
-
-/// Label with the rank of a class, 0 for the most urgent.
-fn class_label(class: PriorityClass) -> KeyValue {
-    KeyValue::new("class", class.rank() as i64)
-}
--- a/crates/gateway/src/sharing/frames.rs
+++ b/crates/gateway/src/sharing/frames.rs
@@ -285,6 +285,9 @@
     /// The server must no longer be used as the primary.
     #[serde(rename = "r")]
     Revoked,
+    /// The answer was given up for lack of memory.
+    #[serde(rename = "m")]
+    NoMemory,
 }
 
 impl Failure {
@@ -293,6 +296,7 @@
         match e {
             ConnectionError::Timeout => Self::Timeout,
             ConnectionError::OutOfOrder => Self::OutOfOrder,
+            ConnectionError::Shed(_) => Self::NoMemory,
             ConnectionError::Lost(_) | ConnectionError::Closed | ConnectionError::Unreadable(_) => Self::Lost,
         }
     }
--- a/crates/gateway/src/sharing/relayed_connection.rs
+++ b/crates/gateway/src/sharing/relayed_connection.rs
@@ -6,7 +6,7 @@
 use super::lease_server::LeaseServer;
 use super::outgoing_link::{LinkEvents, OutgoingLink};
 use super::suspects::Suspicion;
-use crate::{Answer, Command, ConnectionError, SessionValues, TransactionStatus, clock};
+use crate::{Answer, Command, ConnectionError, SessionValues, ShedCause, TransactionStatus, clock};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -226,6 +226,7 @@
                     Failure::Timeout => RelayError::Connection(ConnectionError::Timeout),
                     Failure::OutOfOrder => RelayError::Connection(ConnectionError::OutOfOrder),
                     Failure::Lost => RelayError::Connection(ConnectionError::Closed),
+                    Failure::NoMemory => RelayError::Connection(ConnectionError::Shed(ShedCause::Memory)),
                     Failure::Revoked => RelayError::Revoked,
                 })
             }
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -5,7 +5,9 @@
 use super::refusal::lease_error_cause;
 use super::region_distances::RoundTripKind;
 use super::service_pool::QueueKind;
-use crate::connection_state::{ConnectionState, MAX_PREPARED_STATEMENTS, SessionValues};
+use crate::connection_state::{
+    ConnectionState, MAX_LEFT_STATE_BYTES, MAX_PREPARED_STATEMENTS, SessionValues,
+};
 use crate::metrics::StrayCause;
 use crate::sharing::{NotSent, RelayedConnection};
 use crate::usage::OperationCount;
@@ -115,10 +117,10 @@
             }
             Err(e) => {
                 match e {
-                    // The server has answered, if out of order.
+                    // The server has answered, if out of order or with more than there is memory for.
                     LeaseError::Revoked
                     | LeaseError::NotSent(_)
-                    | LeaseError::Connection(ConnectionError::OutOfOrder) => {}
+                    | LeaseError::Connection(ConnectionError::OutOfOrder | ConnectionError::Shed(_)) => {}
                     // The failure may be that of the holder, which watches the server itself.
                     LeaseError::Connection(_) if self.relayed => {}
                     LeaseError::Connection(_) => {
@@ -213,7 +215,9 @@
         if self.relayed || self.connection_state.prepared.contains(definition) {
             return Ok(());
         }
-        if self.connection_state.prepared.len() >= MAX_PREPARED_STATEMENTS {
+        let prepared = &self.connection_state.prepared;
+        let prepared_bytes: usize = prepared.iter().map(|d| d.text.len()).sum();
+        if prepared.len() >= MAX_PREPARED_STATEMENTS || prepared_bytes > MAX_LEFT_STATE_BYTES {
             self.run_session_command(Command::Reset).await?;
             let values = std::mem::take(&mut self.connection_state).values;
             for (name, value) in values {
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -262,6 +262,7 @@
         let conn = conn.filter(|c| !lease.in_transaction && c.recognises_repeats());
         let conn = conn.and_then(LeasedConnection::into_direct);
         let connection_state = std::mem::take(&mut lease.connection_state);
+        let conn = conn.filter(|_| connection_state.may_be_left());
         if let Some(pool) = self.services.borrow_mut().get_mut(&lease.service) {
             pool.admission(lease.queue_kind())
                 .record_service_time(now.saturating_since(lease.started), now);
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -6,8 +6,8 @@
 use super::not_sent_retries::{NextAttempt, NotSentRetries};
 use super::pool_queue::LeaseRequest;
 use super::refusal::{
-    Refusal, busy_error, lease_error_cause, lease_error_detail, log_unanswered, mask_server_error,
-    not_sent_cause, not_sent_refusal, pool_refusal,
+    Refusal, busy_error, given_up_read, lease_error_cause, lease_error_detail, log_unanswered,
+    mask_server_error, not_sent_cause, not_sent_refusal, pool_refusal,
 };
 use super::requirement::{ServerRequirement, required_point};
 use super::session::{ANSWER_MARGIN, RETRY_DELAY, Session};
@@ -146,14 +146,10 @@
                     next.due().await;
                 }
                 Err(e) if stmt.writes => return unanswered_write(req, &lease, &e),
-                Err(e) if expired => {
-                    return Answer::error(
-                        CallerError::TimedOut,
-                        lease_error_detail(&e),
-                        TransactionStatus::Idle,
-                    );
-                }
-                Err(e) => self.on_retry(req, route, &lease, lease_error_cause(&e)),
+                Err(e) => match given_up_read(&e, expired) {
+                    Some(answer) => return answer,
+                    None => self.on_retry(req, route, &lease, lease_error_cause(&e)),
+                },
             }
         }
     }
--- a/crates/gateway/tests/paced_primary.rs
+++ b/crates/gateway/tests/paced_primary.rs
@@ -75,7 +75,7 @@
         freshness: Freshness::Latest,
         timeout: Duration::from_millis(400),
         target_latency: Duration::from_millis(200),
-        class: PriorityClass::Normal,
+        class: PriorityClass::NORMAL,
         public: true,
     };
     let rule = ServiceRule {
@@ -123,6 +123,7 @@
         rate_limiter: Rc::new(OperationRateLimiter::new(limiter, Box::new(|_, _| {}))),
         metrics,
         executor: Rc::clone(&executor),
+        usage: None,
         settings: Cell::new(SessionSettings {
             key_lifetime: Duration::from_secs(4),
         }),
--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -201,6 +201,7 @@
         rate_limiter: Rc::new(OperationRateLimiter::new(limiter, Box::new(|_, _| {}))),
         metrics,
         executor: Rc::clone(executor),
+        usage: None,
         settings: Cell::new(SessionSettings {
             key_lifetime: Duration::from_secs(4),
         }),
--- a/crates/gateway/tests/usage_counts.rs
+++ b/crates/gateway/tests/usage_counts.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_gateway::PeerMessage;
-use wasabiyard_gateway::peer::Envelope;
+use wasabiyard_gateway::peer::{Encoding, Envelope};
 use wasabiyard_gateway::usage::{
     ClockAgreement, FleetClock, OperationCount, SharedFleetClock, UnixTime, UsageCollector, UsageCounter,
     UsageMessage, UsageReceipt, UsageSender, UsageSettings, UsageStatus, WindowCounts, WindowId,
@@ -205,9 +205,10 @@
         let envelope = Envelope {
             from: InstanceId::from("a"),
             incarnation: Incarnation(1),
+            reads_compact: true,
             message: PeerMessage::Usage(message.clone()),
         };
-        let bytes = envelope.seal(b"secret").len();
+        let bytes = envelope.seal(Encoding::Named, b"secret").len();
         assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes} bytes");
     }
     let mut collector = UsageCollector::default();
