Order work at a holder by class, pace it, and prefer replicas of the own region

The joined parts did not meet yet: the gate of a holder used shares where classes are ordered by rank, a restarted server got work from its holder without a pace, and organisations of one region preferred replicas of another.

--- a/crates/gateway/src/sharing/server_gate.rs
+++ b/crates/gateway/src/sharing/server_gate.rs
@@ -6,6 +6,7 @@
 //! left, since they occupy a connection and locks; then new work by class and, in fair shares, by organisation. Work that
 //! could not be answered in its time is refused when it arrives.
 
+use crate::OverloadOrder;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +16,8 @@
 /// Statements let through beyond the slots, as a fraction of them, so that a slot does not idle while the next statement
 /// is on its way.
 const EXTRA_FRACTION: f64 = 0.5;
+/// Statements for which the most urgent class has room at the primary.
+const URGENT_ROOM: u32 = 1;
 /// Work that took less was given up before it reached the server, and says nothing of its service time.
 const MIN_SERVICE_TIME: Duration = Duration::from_millis(1);
 /// Shortest delay given to a caller that is refused.
@@ -47,6 +50,10 @@
     pub allows_request: bool,
     /// Whether a connection is free, or can be opened or made free.
     pub has_connection: bool,
+    /// Order of the classes under overload.
+    pub order: OverloadOrder,
+    /// Whether it is the primary, where room is kept for the most urgent class.
+    pub is_primary: bool,
 }
 
 /// The gate of one server, with waiters of type `P`.
@@ -80,6 +87,17 @@
     slots.max(1) + extra.max(1)
 }
 
+/// Statements of a class that may start while fewer than this many are at a server. Room for one is kept for the most
+/// urgent class at the primary: its statements are short, and nothing else can run them.
+fn class_width(class: PriorityClass, state: ServerState) -> u32 {
+    let width = gate_width(state.slots);
+    if state.is_primary && !class.is_most_urgent() {
+        width.saturating_sub(URGENT_ROOM).max(1)
+    } else {
+        width
+    }
+}
+
 impl<P> ServerGate<P> {
     /// Statements that were let through and have not finished.
     pub const fn running(&self) -> u32 {
@@ -138,7 +156,7 @@
         self.drop_expired(now);
         let next = match self.open.pop_first() {
             Some((_, payload)) => Some(payload),
-            None if state.has_connection => self.next_new(now),
+            None if state.has_connection => self.next_new(state, now),
             None => None,
         }?;
         self.running += 1;
@@ -173,9 +191,16 @@
     }
 
     /// Removes the next new work that can still be answered in its time.
-    fn next_new(&mut self, now: Time) -> Option<P> {
+    fn next_new(&mut self, state: ServerState, now: Time) -> Option<P> {
+        let running = self.running;
         loop {
-            let (queued, payload) = self.new.pop(now)?;
+            let next = match state.order {
+                OverloadOrder::Shared => self.new.pop(now),
+                OverloadOrder::ByRank => self
+                    .new
+                    .pop_urgent(now, |class| running < class_width(class, state)),
+            };
+            let (queued, payload) = next?;
             if self.admission.can_meet_deadline(queued.deadline, now) {
                 return Some(payload);
             }
--- a/crates/gateway/src/traffic/assignment.rs
+++ b/crates/gateway/src/traffic/assignment.rs
@@ -87,7 +87,7 @@
             && let Some((queued, waiter)) = self.pop_read(now)
         {
             let ids: Vec<_> = self.read_servers(queued.class, now).map(Arc::clone).collect();
-            let preferred = self.preferred_replica(&waiter.organisation);
+            let preferred = self.preferred_replica(&waiter.organisation, locality);
             let candidates: Vec<_> = ids
                 .iter()
                 .map(|id| self.candidate(id, preferred.as_ref(), queued.class, &waiter, locality, now))
@@ -156,12 +156,15 @@
     }
 
     /// The replica whose holder keeps most connections of an organisation, if the holders keep them: all instances prefer the
-    /// same one, so that an organisation needs connections at one replica.
-    fn preferred_replica(&self, organisation: &str) -> Option<Arc<str>> {
+    /// same one of their region, so that an organisation needs connections at one replica.
+    fn preferred_replica(&self, organisation: &str, locality: &Locality<'_>) -> Option<Arc<str>> {
         let replicas = self.accepting_servers.iter().filter(|id| !self.is_primary(id));
         let shared = replicas.filter(|id| self.servers[*id].relay.is_some());
-        let preferred =
-            shared.max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), xxh3_64(organisation.as_bytes())));
+        let preferred = shared.max_by_key(|id| {
+            let is_near = locality.regions.is_own(&self.servers[*id].server.domain);
+            let hash = xxh3_64_with_seed(id.as_bytes(), xxh3_64(organisation.as_bytes()));
+            (is_near, hash)
+        });
         preferred.map(Arc::clone)
     }
 
--- a/crates/gateway/src/traffic/held_server.rs
+++ b/crates/gateway/src/traffic/held_server.rs
@@ -8,7 +8,7 @@
 use crate::connection_state::ConnectionState;
 use crate::metrics::{ConnectResult, HeldLeaseResult};
 use crate::sharing::{GatePass, GateRefusal, LeaseServer, LeaseSpec, NewWork, Refusal, ServerState};
-use crate::{ConnectOutcome, Connector, PrimaryView, clock};
+use crate::{ConnectOutcome, Connector, OverloadOrder, PrimaryView, clock};
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -138,6 +138,13 @@
 
     /// Lets as much work through as the server can take.
     pub(super) fn dispatch_gate(self: &Rc<Self>, service: &Arc<str>, server: &Arc<str>, now: Time) {
+        let (order, is_primary) = {
+            let services = self.services.borrow();
+            let Some(pool) = services.get(service) else {
+                return;
+            };
+            (pool.overload_order, pool.is_primary(server))
+        };
         loop {
             let mut dropped = Vec::new();
             let mut refusal = GateRefusal {
@@ -148,7 +155,7 @@
                 if s.is_failing(now) {
                     s.gate.drop_new();
                 }
-                next = s.start_held_work(now);
+                next = s.start_held_work(order, is_primary, now);
                 dropped = s.gate.take_dropped(now);
                 let wait = s.gate.expected_wait(s.server.capacity, now);
                 refusal.retry_after = wait.max(refusal.retry_after);
@@ -186,6 +193,7 @@
         let mut rng = self.rng.borrow_mut();
         self.with_server(&lease.service, &lease.server, |s| {
             s.health.on_overloaded(s.gate.running(), now, &mut *rng);
+            s.pace.on_overloaded(now);
         });
     }
 
@@ -355,15 +363,20 @@
     }
 
     /// Removes the next work that the server can take from its gate.
-    fn start_held_work(&mut self, now: Time) -> Option<GateWaiter> {
+    fn start_held_work(&mut self, order: OverloadOrder, is_primary: bool, now: Time) -> Option<GateWaiter> {
         let max_open = self.held_limits.map_or(0, |l| l.max_open);
         let state = ServerState {
             slots: self.server.capacity,
-            allows_request: self.health.allows_request(self.gate.running(), now),
+            allows_request: self.health.allows_request(self.gate.running(), now)
+                && self.pace.allows_statement(now),
             has_connection: self.in_use < max_open
                 && (!self.idle.is_empty() || self.health.allows_connect(now)),
+            order,
+            is_primary,
         };
-        self.gate.start_next(state, now)
+        let next = self.gate.start_next(state, now)?;
+        self.pace.on_sent(now);
+        Some(next)
     }
 
     /// Counts a connection that is about to be opened, and closes the one that has been idle longest if there are too
--- a/crates/gateway/src/traffic/pace.rs
+++ b/crates/gateway/src/traffic/pace.rs
@@ -192,6 +192,13 @@
         if !share.is_limited() {
             self.end(PaceEnd::FleetChanged, now);
         }
+        // An instance that begins to send for others has a larger fair part.
+        let min_rate = share.fair_rate() * MIN_FAIR_FRACTION;
+        if let Some(pace) = &mut self.pace
+            && pace.bucket.rate() < min_rate
+        {
+            pace.bucket.set_rate(share.fair_rate(), now);
+        }
     }
 
     /// Records that the server has started, or has started again.
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -175,7 +175,7 @@
             self.update_primary(service, snapshot, now);
             self.dispatch(service, now);
         }
-        self.update_relays(snapshot);
+        self.update_relays(snapshot, now);
     }
 
     /// Rejects expired waiters, closes connections that are idle for too long, and stops the use of primaries
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -4,10 +4,10 @@
 use super::leased_connection::LeasedConnection;
 use super::pool::{LeaseResult, Pool, PoolError, Requester};
 use super::pool_queue::deliver_lease;
-use super::server_pool::HeldLimits;
+use super::server_pool::{HeldLimits, pace_share};
 use super::service_pool::Waiter;
 use crate::connection_state::ConnectionState;
-use crate::sharing::{LeaseServer, LeaseSpec, RelayRoute};
+use crate::sharing::{LeaseServer, LeaseSpec};
 use crate::{ClusterSnapshot, Connector, clock};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,7 +26,7 @@
     C: Connector + 'static,
 {
     /// Derives from a new cluster snapshot which servers are used through a holder.
-    pub(super) fn update_relays(&self, snapshot: &ClusterSnapshot) {
+    pub(super) fn update_relays(&self, snapshot: &ClusterSnapshot, now: Time) {
         let Some(sharing) = self.sharing.get() else {
             return;
         };
@@ -34,14 +34,14 @@
         let holders = sharing.holders(snapshot);
         let mut services = self.services.borrow_mut();
         for server in services.values_mut().flat_map(|s| s.servers.values_mut()) {
-            let held_before = server.relay.as_ref().is_some_and(RelayRoute::is_holder);
+            let held_before = server.is_holder();
             let id = Arc::clone(&server.server.id);
             if let Some((pair, limit)) = holders.get(&id) {
                 let unchanged = server.relay.as_ref().is_some_and(|r| r.holders() == pair);
                 if !unchanged {
                     server.relay = Some(sharing.route(&id, pair.clone()));
                 }
-                let is_holder = server.relay.as_ref().is_some_and(RelayRoute::is_holder);
+                let is_holder = server.is_holder();
                 server.held_limits = Some(HeldLimits {
                     max_open: ((f64::from(*limit) * HOLDER_FRACTION) as u32).max(1),
                     idle_timeout: if is_holder {
@@ -54,8 +54,10 @@
                 server.relay = None;
                 server.held_limits = None;
             }
-            let holds_now = server.relay.as_ref().is_some_and(RelayRoute::is_holder);
+            let holds_now = server.is_holder();
             if holds_now != held_before {
+                let share = pace_share(&server.server, snapshot.fleet_size(), holds_now);
+                server.pace.set_share(share, now);
                 log::info!(server:% = id, holder = holds_now; "connection holder of a backend server changed");
             }
         }
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Whether this instance holds the connections of the fleet to the server.
+    pub(super) fn is_holder(&self) -> bool {
+        self.relay.as_ref().is_some_and(RelayRoute::is_holder)
+    }
+
     /// Latency that a new statement can expect.
     pub(super) fn expected_latency(&self, now: Time) -> Duration {
         let wait = self
@@ -256,12 +261,12 @@
     }
 }
 
-/// The part of this instance at a server, in a fleet of `instances`.
-pub(super) fn pace_share(server: &BackendServer, instances: usize) -> PaceShare {
+/// The part of this instance at a server, in a fleet of `instances`. A connection holder sends for all of them.
+pub(super) fn pace_share(server: &BackendServer, instances: usize, is_holder: bool) -> PaceShare {
     PaceShare {
         capacity: server.capacity,
         instances,
-        senders: instances,
+        senders: if is_holder { 1 } else { instances },
         warmup_left: Duration::from_millis(u64::from(server.warmup_left_ms)),
     }
 }
--- a/crates/gateway/src/traffic/service_pool.rs
+++ b/crates/gateway/src/traffic/service_pool.rs
@@ -110,7 +110,9 @@
         let listed = snapshot.servers.values().filter(|s| *s.service == *service);
         for server in listed {
             self.unlisted.remove(&server.id);
-            let share = pace_share(server, snapshot.fleet_size());
+            let known = self.servers.get(&server.id);
+            let is_holder = known.is_some_and(ServerPool::is_holder);
+            let share = pace_share(server, snapshot.fleet_size(), is_holder);
             match self.servers.get_mut(&server.id) {
                 Some(known)
                     if known.server.address == server.address
--- a/crates/gateway/tests/sharing_decisions.rs
+++ b/crates/gateway/tests/sharing_decisions.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
+use wasabiyard_gateway::OverloadOrder;
 use wasabiyard_gateway::sharing::{
     HolderPair, LatenessClock, NewWork, ServerGate, ServerState, SharedServer, SharingRule, Suspects,
     SuspensionDetector, Suspicion, assign_holders, gate_width,
@@ -162,6 +163,8 @@
     slots: SLOTS,
     allows_request: true,
     has_connection: true,
+    order: OverloadOrder::Shared,
+    is_primary: false,
 };
 
 /// Replays a burst of a whole fleet: 85 instances send at once, and the server rejected what it could not queue.
@@ -195,6 +198,27 @@
     assert!(urgent >= 15, "{urgent} of the first 20 are urgent");
 }
 
+/// Where classes are ordered by rank, the least urgent work of a busy fleet filled the primary, and the next urgent statement
+/// waited for one of its long statements to end.
+#[test]
+fn a_primary_full_of_patient_work_has_room_for_an_urgent_statement() {
+    let primary = ServerState {
+        order: OverloadOrder::ByRank,
+        is_primary: true,
+        ..FREE
+    };
+    let mut gate = ServerGate::default();
+    for i in 0..20 {
+        let new = work("org", PriorityClass::BACKGROUND, at(2_000));
+        gate.push_new(&new, SLOTS, i, at(0)).expect("no estimate yet");
+    }
+    while gate.start_next(primary, at(0)).is_some() {}
+    assert_eq!(gate.running(), gate_width(SLOTS) - 1);
+    let urgent = work("org", PriorityClass::CRITICAL, at(200));
+    gate.push_new(&urgent, SLOTS, 99, at(1)).expect("admitted");
+    assert_eq!(gate.start_next(primary, at(1)), Some(99));
+}
+
 /// A statement of an open transaction waited behind new work while it kept a connection and locks.
 #[test]
 fn statements_of_open_transactions_go_first_and_need_no_connection() {
