Request samples of a primary's log point from the holder of its connections

Cause: an instance of a large fleet sends a primary less than one statement a second, so reads that accept data of 1.5 s often found no sample that is young enough, and went to the primary although replicas could serve them. Where connections are shared, the instance now requests samples from the holder, one datagram each way, at most about once per staleness bound and service. Without a response within 40 ms the read goes to the primary as before, and no request is sent for 0.5 s.

Ruled out: one sample in a response, since the newest is not reached by replicas yet and the oldest is used up soon; clocks of two instances, which are not comparable.

Not measured yet.

--- a/crates/gateway/src/gateway/messages.rs
+++ b/crates/gateway/src/gateway/messages.rs
@@ -119,6 +119,22 @@
             PeerMessage::ViewResponse { request_id, page } => {
                 self.notify_control(ControlEvent::ViewResponse { request_id, page });
             }
+            PeerMessage::PositionRequest {
+                request_id,
+                service,
+                max_age,
+            } => {
+                let positions = self.pool.positions_within(&service, max_age, clock::now());
+                let response = PeerMessage::PositionResponse {
+                    request_id,
+                    positions,
+                };
+                self.peers.send(&from, &response);
+            }
+            PeerMessage::PositionResponse {
+                request_id,
+                positions,
+            } => self.pool.on_positions(request_id, &positions),
             PeerMessage::PrimaryRecordChanged { service, record } => {
                 let changed_service = Arc::clone(&service);
                 self.release_targets
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -209,18 +209,14 @@
             Rc::clone(executor),
         );
         let sharing = open_sharing(&settings, &pool, &snapshot, executor);
-        let limiter_state = RateLimiterState::new(registration.id.clone(), settings.runtime.rate_tolerance);
         let peers = Peers {
             socket,
             snapshot: Arc::clone(&snapshot),
             compact_readers: Rc::default(),
         };
-        let limiter_peers = peers.clone();
-        let send_to = move |to: &InstanceId, message| limiter_peers.send(to, &message);
-        let delay_pool = Rc::clone(&pool);
-        let peer_delay = move |to: &InstanceId| delay_pool.peer_delay(to, clock::now());
-        let rate_limiter = OperationRateLimiter::new(limiter_state, Box::new(send_to));
-        let rate_limiter = Rc::new(rate_limiter.with_peer_delay(Box::new(peer_delay)));
+        let position_peers = peers.clone();
+        pool.enable_position_requests(Box::new(move |to, message| position_peers.send(to, &message)));
+        let rate_limiter = open_rate_limiter(&settings, &peers, &pool);
         let cx = Rc::new(SessionContext {
             pool: Rc::clone(&pool),
             rate_limiter: Rc::clone(&rate_limiter),
@@ -362,3 +358,22 @@
     }
     sharing
 }
+
+/// Creates the rate limiter, which sends its messages through `peers`.
+fn open_rate_limiter<C>(
+    settings: &GatewaySettings,
+    peers: &Peers,
+    pool: &Rc<Pool<C>>,
+) -> Rc<OperationRateLimiter>
+where
+    C: Connector + 'static,
+{
+    let id = settings.instance.id.clone();
+    let state = RateLimiterState::new(id, settings.runtime.rate_tolerance);
+    let peers = peers.clone();
+    let send_to = move |to: &InstanceId, message| peers.send(to, &message);
+    let pool = Rc::clone(pool);
+    let peer_delay = move |to: &InstanceId| pool.peer_delay(to, clock::now());
+    let rate_limiter = OperationRateLimiter::new(state, Box::new(send_to));
+    Rc::new(rate_limiter.with_peer_delay(Box::new(peer_delay)))
+}
--- a/crates/gateway/src/peer/message.rs
+++ b/crates/gateway/src/peer/message.rs
@@ -4,12 +4,14 @@
 use crate::PrimaryRecord;
 use crate::control::ServerContacts;
 use crate::rate::{LinkMessage, TokenRequest, TokenResponse};
+use crate::traffic::SampledPosition;
 use crate::usage::{UsageMessage, UsageStatus};
 use crate::view::{ViewCursor, ViewPage};
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 use wasabiyard_model::{Incarnation, InstanceId};
 
@@ -72,6 +74,22 @@
         /// Changes after the cursor of the request.
         page: ViewPage,
     },
+    /// Requests samples of a primary's log point from the holder of its connections.
+    PositionRequest {
+        /// Chosen by the sender; the response repeats it.
+        request_id: u64,
+        /// Service of the primary.
+        service: Arc<str>,
+        /// Age of the oldest sample that is of use.
+        max_age: Duration,
+    },
+    /// Response to [`Self::PositionRequest`].
+    PositionResponse {
+        /// Id of the request.
+        request_id: u64,
+        /// Samples, oldest first.
+        positions: Vec<SampledPosition>,
+    },
     /// The sender has written a new primary record to the store.
     #[serde(rename = "Recorded")]
     PrimaryRecordChanged {
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection_lease::ConnectionLease;
 use super::leased_connection::LeasedConnection;
+use super::position_requests::PositionRequests;
 use super::region_distances::RegionDistances;
 use super::service_pool::ServicePool;
 use crate::connection_state::ConnectionState;
@@ -105,6 +106,7 @@
     pub(super) newly_released: RefCell<Vec<(Arc<str>, u64)>>,
     /// Sharing of connections with other instances; empty when this instance does not take part.
     pub(super) sharing: OnceCell<Rc<ConnectionSharing>>,
+    pub(super) positions: OnceCell<PositionRequests>,
 }
 
 impl<C> std::fmt::Debug for Pool<C>
@@ -144,6 +146,7 @@
             released: RefCell::default(),
             newly_released: RefCell::default(),
             sharing: OnceCell::new(),
+            positions: OnceCell::new(),
         })
     }
 
--- a/crates/gateway/src/traffic/run_autocommit.rs
+++ b/crates/gateway/src/traffic/run_autocommit.rs
@@ -69,7 +69,7 @@
             let requirement = if primary_only {
                 ServerRequirement::Primary
             } else {
-                self.read_requirement(route, received_at)
+                self.read_requirement(route, received_at).await
             };
             let (mut lease, at_least) = match self
                 .lease_ready_connection(route, requirement, stmt.definition(), deadline)
@@ -214,13 +214,17 @@
     }
 
     /// The servers on which a read of a route may run. Its freshness is counted back from `started_at`.
-    pub(super) fn read_requirement(&self, route: &RouteRule, started_at: Time) -> ServerRequirement {
+    pub(super) async fn read_requirement(&self, route: &RouteRule, started_at: Time) -> ServerRequirement {
         let (age, session_point) = match route.freshness {
             Freshness::Latest => return ServerRequirement::Primary,
             Freshness::Bounded(age) => (age, None),
             Freshness::ReadYourWrites(age) => (age, self.written_point),
         };
-        match self.cx.pool.minimum_read_point(&route.service, age, started_at) {
+        let pool = &self.cx.pool;
+        if pool.minimum_read_point(&route.service, age, started_at).is_none() {
+            pool.request_positions(&route.service, age).await;
+        }
+        match pool.minimum_read_point(&route.service, age, started_at) {
             Some(sample) => ServerRequirement::AtLeast(required_point(session_point, sample)),
             None => ServerRequirement::Primary,
         }
--- a/crates/gateway/src/traffic/run_transaction.rs
+++ b/crates/gateway/src/traffic/run_transaction.rs
@@ -178,7 +178,7 @@
             let requirement = if primary_only {
                 ServerRequirement::Primary
             } else {
-                self.read_requirement(&route, started_at)
+                self.read_requirement(&route, started_at).await
             };
             let (mut lease, at_least) = self
                 .lease_ready_connection(&route, requirement, None, deadline)
--- a/crates/session/src/position_samples.rs
+++ b/crates/session/src/position_samples.rs
@@ -65,6 +65,12 @@
             .map(|s| s.point)
     }
 
+    /// The samples that are at most `age` old at `now`, oldest first.
+    pub fn within(&self, age: Duration, now: Time) -> impl DoubleEndedIterator<Item = &PositionSample> {
+        let samples = self.confirmed.iter();
+        samples.filter(move |s| now.saturating_since(s.requested_at) <= age)
+    }
+
     /// The request time of the first sample in which the primary was at or beyond `point`. `None` when there is no such
     /// sample.
     pub fn first_reached_at(&self, point: LogPoint) -> Option<Time> {
