Report usage also when the answer to the acquisition of the lease was lost

Cause: only the write that acquires the lease set the time from which its holder may report, so a holder whose acquisition was not answered never reported. The first write under a fencing token counts now. Found in review; the test fails without the change (by reading, not run there).

--- a/crates/gateway/src/control/failover_lease.rs
+++ b/crates/gateway/src/control/failover_lease.rs
@@ -85,6 +85,8 @@
 /// How this process acquired the lease.
 #[derive(Debug, Clone, Copy)]
 struct Acquisition {
+    fence: u64,
+    /// When this process learned that it holds the lease under this token.
     at: Time,
     /// Whether the lease of another holder had expired, so that this holder had been unable to act for a while.
     after_expiry: bool,
@@ -120,10 +122,13 @@
     /// Applies a successful write by this process that was sent at `sent`. The holder timeout counts from there,
     /// because the store may have applied the write at any moment since.
     pub fn on_written(&mut self, version: Version, record: FailoverLeaseRecord, sent: Time, now: Time) {
-        if record.renewals == 0 {
+        // The answer to the acquisition itself may be lost; the first write that is known to have taken effect then counts.
+        if self.acquisition.is_none_or(|a| a.fence != record.fence) {
             let previous = self.record.as_ref().map(|(_, previous)| previous);
-            let after_expiry = previous.is_some_and(|p| !p.released && p.holder != record.holder);
+            let after_expiry =
+                record.renewals == 0 && previous.is_some_and(|p| !p.released && p.holder != record.holder);
             self.acquisition = Some(Acquisition {
+                fence: record.fence,
                 at: now,
                 after_expiry,
             });
@@ -174,7 +179,7 @@
             turn.max(TAKEOVER_TIMEOUT)
         };
         self.held_fence(own_id, incarnation, now)
-            .filter(|_| now >= acquisition.at + pause)
+            .filter(|fence| *fence == acquisition.fence && now >= acquisition.at + pause)
     }
 
     /// Whether this process holds the lease and no other one can have acquired it up to `now`, even if the store has
--- a/crates/gateway/src/usage/fleet_clock.rs
+++ b/crates/gateway/src/usage/fleet_clock.rs
@@ -1,6 +1,6 @@
 //! True time as the fleet agrees on it.
 //!
-//! The time of day of one machine may jump. An instance therefore reads it once, and then only counts on with the clock that counts
+//! The time of day of one machine may jump. An instance therefore takes it at its start only, and then counts on with the clock that counts
 //! suspension. The offset between the two is corrected by what the holder of the failover lease sends, who forms the median
 //! over the instances ([`super::ClockAgreement`]).
 
--- a/crates/gateway/src/usage/settings.rs
+++ b/crates/gateway/src/usage/settings.rs
@@ -32,7 +32,7 @@
 
     /// The end of a window.
     pub const fn end_of(&self, window: WindowId) -> UnixTime {
-        UnixTime::from_micros((window.0 + 1).saturating_mul(self.window_micros()))
+        UnixTime::from_micros(window.0.saturating_add(1).saturating_mul(self.window_micros()))
     }
 
     /// When a window is reported even if counts are missing.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -129,6 +129,25 @@
     );
 }
 
+/// When the answer to an acquisition was lost, its holder never reported usage for as long as it held the lease.
+#[test]
+fn a_holder_whose_acquisition_was_not_answered_may_report_after_a_pause() {
+    const TURN: Duration = Duration::from_secs(3);
+    let mut lease = FailoverLease::default();
+    lease.on_read(Some((Version(7), lease_record("a", 3))), START);
+    let renewed = FailoverLeaseRecord {
+        renewals: 1,
+        ..lease_record("a", 3)
+    };
+    let fence_at = |lease: &FailoverLease, now| lease.held_fence_in_turn("a", Incarnation(1), TURN, now);
+    for i in 0..4 {
+        let now = START + Duration::from_secs(i);
+        lease.on_written(Version(8 + i), renewed.clone(), now, now);
+    }
+    assert_eq!(fence_at(&lease, START + Duration::from_secs(3)), None);
+    assert_eq!(fence_at(&lease, START + Duration::from_secs(4)), Some(3));
+}
+
 /// A restarted process of the holder knows that its predecessor has ended, so it acquires the lease at once. It
 /// must not reuse the fencing token of its predecessor.
 #[test]
