--- a/crates/gateway/src/budget/memory_budget.rs
+++ b/crates/gateway/src/budget/memory_budget.rs
@@ -9,6 +9,9 @@
 /// A connection that has held its claim for less is not closed for others. Messages of well-behaved callers that arrive at
 /// the same time should wait for each other instead.
 const MIN_HOLD_TIME: Duration = Duration::from_millis(100);
+/// Time without progress beyond which a claim weighs no more, as long as a message may take. Otherwise the few bytes of a
+/// session that is idle for an hour would outweigh a large message that has stopped.
+const MAX_WEIGHTED_AGE: Duration = Duration::from_secs(20);
 
 /// What memory is claimed for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,7 +80,7 @@
 pub enum Decision {
     /// The bytes are claimed.
     Granted,
-    /// The connection of this claim must be closed; its bytes are enough for the attempt once they are returned.
+    /// The connection of this claim must be closed. Its bytes, with those of further ones, are enough for the attempt.
     Close(ClaimId),
     /// Bytes of connections that are being closed are enough for the attempt once they are returned.
     Wait,
@@ -97,9 +100,10 @@
 }
 
 impl Entry {
-    /// Bytes held, weighted with the time without progress.
+    /// Bytes held, weighted with the time without progress, up to [`MAX_WEIGHTED_AGE`].
     fn cost(&self, now: Time) -> u128 {
-        self.bytes as u128 * now.saturating_since(self.since).as_micros()
+        let age = now.saturating_since(self.since).min(MAX_WEIGHTED_AGE);
+        self.bytes as u128 * age.as_micros()
     }
 
     fn may_be_closed(&self, now: Time) -> bool {
@@ -175,10 +179,18 @@
         }
         let share_is_full = self.used(entry.purpose) + additional > entry.purpose.share(self.total);
         let competes = |e: &Entry| !share_is_full || e.purpose == entry.purpose;
-        let closing = self.claims.values().filter(|e| e.closing && competes(e));
-        if closing.map(|e| e.bytes).sum::<usize>() >= missing {
+        let sum = |may_count: &dyn Fn(&Entry) -> bool| -> usize {
+            let entries = self.claims.values().filter(|e| may_count(e) && competes(e));
+            entries.map(|e| e.bytes).sum()
+        };
+        let closing = sum(&|e| e.closing);
+        if closing >= missing {
             return Decision::Wait;
         }
+        if closing + sum(&|e| e.may_be_closed(now)) < missing {
+            // Closing them would not help.
+            return Decision::Exhausted;
+        }
         let candidates = self.claims.iter().filter(|(_, e)| competes(e));
         let costliest = candidates
             .filter(|(other, e)| **other == id || e.may_be_closed(now))
--- a/crates/gateway/tests/memory_budget.rs
+++ b/crates/gateway/tests/memory_budget.rs
@@ -150,3 +150,42 @@
     assert!(limits.budget_bytes() >= 32 * MIB);
     assert!(limits.budget_bytes() <= 160 * MIB / 4);
 }
+
+/// Callers were closed one after the other although all of them together could not make room for the newcomer.
+#[test]
+fn nobody_is_closed_when_that_would_not_make_room() {
+    let mut budget = MemoryBudget::new(2 * MIB);
+    let running = budget.open(Purpose::Message, START);
+    assert_eq!(budget.resize(running, 800 * KIB, START), Decision::Granted);
+    budget.set_busy(running, true, START);
+    let idle = budget.open(Purpose::Message, START);
+    assert_eq!(budget.resize(idle, 50 * KIB, START), Decision::Granted);
+    let newcomer = budget.open(Purpose::Message, after(500));
+    assert_eq!(
+        budget.resize(newcomer, 900 * KIB, after(500)),
+        Decision::Exhausted
+    );
+}
+
+/// A session that had been idle for an hour with a few KiB of its own outweighed a large message that had stopped.
+#[test]
+fn an_old_session_with_little_state_outlives_a_stalled_message() {
+    const HOUR_MS: u64 = 3_600_000;
+    let mut budget = MemoryBudget::new(4 * MIB);
+    let session = budget.open(Purpose::SessionState, START);
+    assert_eq!(budget.resize(session, 8 * KIB, START), Decision::Granted);
+    let stalled = budget.open(Purpose::Message, after(HOUR_MS));
+    assert_eq!(
+        budget.resize(stalled, 900 * KIB, after(HOUR_MS)),
+        Decision::Granted
+    );
+    let mut others = Vec::new();
+    let decision = loop {
+        let other = budget.open(Purpose::Statement, after(HOUR_MS + 1_000));
+        match budget.resize(other, 256 * KIB, after(HOUR_MS + 1_000)) {
+            Decision::Granted => others.push(other),
+            decision => break decision,
+        }
+    };
+    assert_ne!(decision, Decision::Close(session));
+}
