Let a holder recover a failing server, and keep one large message from ending a link

Cause, found in review: the second check of a lease asked whether the server responds while the lease itself counted as running there, so after two failures a holder refused each statement that it had let through as a trial, until the server restarted. A message above the limit of a link ended it for everyone. Besides: waiters that are gone are skipped without a token, a freed connection wakes the gate, the pace has an upper bound and does not refuse what is relayed, classes yield only where the instance sends itself, and a rejected session value makes no holder suspect.

--- a/crates/gateway/src/sharing/frames.rs
+++ b/crates/gateway/src/sharing/frames.rs
@@ -60,6 +60,16 @@
     pub values: SessionValues,
 }
 
+impl LeaseSpec {
+    /// Bytes of the session values.
+    pub fn value_bytes(&self) -> usize {
+        self.values
+            .iter()
+            .map(|(name, value)| name.len() + value.len())
+            .sum()
+    }
+}
+
 /// A command for the backend server, as [`Command`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[expect(missing_docs, reason = "the fields are those of `Command`")]
--- a/crates/gateway/src/sharing/link_socket.rs
+++ b/crates/gateway/src/sharing/link_socket.rs
@@ -23,6 +23,11 @@
 const BUFFER_BYTES: usize = 8 * 1024;
 /// Size limit of a message. A statement of 1 MiB must fit, with the text of its prepared definition.
 const MAX_MESSAGE_BYTES: usize = 3 * 1024 * 1024;
+/// Bytes of texts, rows or session values up to which a message is sent. The limit of a message leaves room for what is
+/// encoded with them.
+pub(crate) const MAX_PAYLOAD_BYTES: usize = 2 * 1024 * 1024 + 512 * 1024;
+/// Most messages in one write. A longer batch could exceed [`WRITE_TIMEOUT`] on a link that is busy but works.
+const MAX_BATCH_MESSAGES: usize = 64;
 /// Size limit of a message of the handshake, whose sender is not authenticated yet.
 const MAX_HELLO_BYTES: usize = 1024;
 /// Timeout of one write. A peer that reads nothing for this long counts as lost.
@@ -137,7 +142,10 @@
 {
     let write = async {
         sink.feed(encode(first)).await.map_err(Box::new)?;
-        while let Some(next) = more() {
+        for _ in 1..MAX_BATCH_MESSAGES {
+            let Some(next) = more() else {
+                break;
+            };
             sink.feed(encode(&next)).await.map_err(Box::new)?;
         }
         sink.flush().await.map_err(Box::new)?;
--- a/crates/gateway/src/sharing/mod.rs
+++ b/crates/gateway/src/sharing/mod.rs
@@ -30,6 +30,7 @@
 pub use holder::{DEFAULT_MIN_INSTANCES, HolderPair, SharedServer, SharingRule, assign_holders};
 pub use incoming_link::{IncomingLink, LeaseOpening, ReplySink, TimedCommand};
 pub use lease_server::{GatePass, LeaseServer};
+pub(crate) use link_socket::MAX_PAYLOAD_BYTES;
 pub use link_socket::{LatenessClock, LinkError};
 pub use relay_route::RelayRoute;
 pub use relayed_connection::{NotSent, RelayError, RelayedConnection};
--- a/crates/gateway/src/sharing/relayed_connection.rs
+++ b/crates/gateway/src/sharing/relayed_connection.rs
@@ -4,6 +4,7 @@
 use super::frames::{Failure, LeaseNumber, LeaseSpec, Refusal, RelayedCommand, Reply, Request, Timing};
 use super::incoming_link::{LeaseOpening, ReplySink, TimedCommand};
 use super::lease_server::LeaseServer;
+use super::link_socket::MAX_PAYLOAD_BYTES;
 use super::outgoing_link::{LinkEvents, OutgoingLink};
 use super::suspects::Suspicion;
 use crate::{Answer, Command, ConnectionError, SessionValues, ShedCause, TransactionStatus, clock};
@@ -22,6 +23,9 @@
 /// Lower bound of that time: the holder's delay before a confirmation and the way there and back.
 const MIN_RECEIPT_TIME: Duration = Duration::from_millis(40);
 
+/// Largest statement: a definition and its arguments, each of the size of a message.
+const MAX_STATEMENT_BYTES: usize = 2 * 1024 * 1024;
+
 /// Why a command was not sent to the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotSent {
@@ -262,6 +266,18 @@
         command: Option<RelayedCommand>,
         timeout: Duration,
     ) -> Result<Reply, RelayError> {
+        if let Path::Link { link, .. } = &self.path
+            && matches!(self.state, State::Unopened | State::Reserved)
+        {
+            if link.is_closed() {
+                self.state = State::Ended;
+                return Err(RelayError::NotSent(self.on_link_lost()));
+            }
+            if self.spec.value_bytes() > MAX_PAYLOAD_BYTES - MAX_STATEMENT_BYTES {
+                self.state = State::Ended;
+                return Err(RelayError::NotSent(NotSent::NoHolder("message_too_large")));
+            }
+        }
         let before = std::mem::replace(&mut self.state, State::Waiting);
         let must_not_repeat =
             before == State::Reserved || matches!(command, Some(RelayedCommand::Commit { .. }));
--- a/crates/gateway/src/sharing/server_gate.rs
+++ b/crates/gateway/src/sharing/server_gate.rs
@@ -163,6 +163,11 @@
         Some(next)
     }
 
+    /// Takes back the last start, of work that nobody waits for.
+    pub const fn cancel_start(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
     /// Records that work which was let through `took` ago has finished.
     pub fn finish(&mut self, took: Duration, now: Time) {
         self.running = self.running.saturating_sub(1);
--- a/crates/gateway/src/traffic/assignment.rs
+++ b/crates/gateway/src/traffic/assignment.rs
@@ -24,7 +24,7 @@
     Idle(IdleConnection<C>),
     /// A new connection, which has to be opened.
     Connect,
-    /// A connection that this instance holds.
+    /// A connection that this holder has, which may be this instance.
     Relay(InstanceId),
 }
 
--- a/crates/gateway/src/traffic/connection_lease.rs
+++ b/crates/gateway/src/traffic/connection_lease.rs
@@ -25,7 +25,7 @@
 use wasabiyard_model::{PriorityClass, Time};
 
 /// Timeout of commands that occupy no execution slot at the backend server: session values, prepared names, rollback.
-const SESSION_COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const SESSION_COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Why a command has no answer.
 #[derive(Debug)]
--- a/crates/gateway/src/traffic/held_server.rs
+++ b/crates/gateway/src/traffic/held_server.rs
@@ -1,14 +1,15 @@
 //! The holder's side of shared connections: work for a server passes its gate and gets a connection of the holder.
 
-use super::connection_lease::ConnectionLease;
+use super::connection_lease::{ConnectionLease, LeaseError};
 use super::leased_connection::LeasedConnection;
 use super::ordered_connection::OrderedConnection;
 use super::pool::{Pool, Requester};
+use super::pool_connect::CONNECT_TIMEOUT;
 use super::server_pool::ServerPool;
 use crate::connection_state::ConnectionState;
 use crate::metrics::{ConnectResult, HeldLeaseResult};
 use crate::sharing::{GatePass, GateRefusal, LeaseServer, LeaseSpec, NewWork, Refusal, ServerState};
-use crate::{ConnectOutcome, Connector, OverloadOrder, PrimaryView, clock};
+use crate::{ConnectOutcome, ConnectionError, Connector, OverloadOrder, PrimaryView, clock};
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -17,8 +18,6 @@
 use std::time::Duration;
 use wasabiyard_model::Time;
 
-/// Timeout for opening a connection, the login at the backend server included.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause before another attempt when the server accepts no more connections and none can be freed.
 const NO_CONNECTION_PAUSE: Duration = Duration::from_millis(40);
 
@@ -37,7 +36,8 @@
 where
     C: Connector + 'static,
 {
-    /// Whether a lease may be served now. Checked again when its connection is ready.
+    /// Whether a lease may be served now, apart from whether its server responds. Checked again when its connection is
+    /// ready.
     pub(super) fn check_held(&self, spec: &LeaseSpec, now: Time) -> Result<(), Refusal> {
         let services = self.services.borrow();
         let Some(pool) = services.get(&spec.service) else {
@@ -60,7 +60,17 @@
         } else if !snapshot.accepts_new_work(&server.server) {
             return Err(Refusal::NotInService);
         }
-        if server.is_failing(now) {
+        Ok(())
+    }
+
+    /// Refuses a lease while its server does not respond. A statement that is let through to try the server counts as
+    /// running there, so this must not be asked after the gate.
+    fn check_responds(&self, spec: &LeaseSpec, now: Time) -> Result<(), Refusal> {
+        let services = self.services.borrow();
+        let server = services
+            .get(&spec.service)
+            .and_then(|pool| pool.servers.get(&spec.server));
+        if server.is_some_and(|s| s.is_failing(now)) {
             return Err(Refusal::ServerUnreachable);
         }
         Ok(())
@@ -75,6 +85,7 @@
         loop {
             let arrived = clock::now();
             self.check_held(spec, arrived)?;
+            self.check_responds(spec, arrived)?;
             let work = NewWork {
                 organisation: Arc::clone(&spec.organisation),
                 class: spec.class,
@@ -228,7 +239,13 @@
         if let Err(e) = lease.apply_session_values(&spec.values).await {
             log::debug!(server:% = spec.server, error:? = e; "session values could not be set");
             lease.discard();
-            return Err(NoConnection::Refused(Refusal::ServerUnreachable));
+            let refusal = match e {
+                LeaseError::Connection(ConnectionError::Unreadable(_)) => overloaded(GateRefusal {
+                    retry_after: NO_CONNECTION_PAUSE,
+                }),
+                _ => Refusal::ServerUnreachable,
+            };
+            return Err(NoConnection::Refused(refusal));
         }
         self.metrics.on_held_lease(&spec.service, HeldLeaseResult::Opened);
         Ok(lease)
@@ -374,9 +391,16 @@
             order,
             is_primary,
         };
-        let next = self.gate.start_next(state, now)?;
-        self.pace.on_sent(now);
-        Some(next)
+        loop {
+            let next = self.gate.start_next(state, now)?;
+            if next.is_closed() {
+                // Its requester no longer waits.
+                self.gate.cancel_start();
+                continue;
+            }
+            self.pace.on_sent(now);
+            return Some(next);
+        }
     }
 
     /// Counts a connection that is about to be opened, and closes the one that has been idle longest if there are too
--- a/crates/gateway/src/traffic/lease_task.rs
+++ b/crates/gateway/src/traffic/lease_task.rs
@@ -1,11 +1,11 @@
 //! The life of a lease at the connection holder: its connection, its commands and their answers.
 
-use super::connection_lease::{ConnectionLease, LeaseError};
+use super::connection_lease::{ConnectionLease, LeaseError, SESSION_COMMAND_TIMEOUT};
 use super::pool::Pool;
 use super::run_autocommit::read_timeout;
 use crate::sharing::{
-    Failure, GatePass, LeaseOpening, LeaseServer, LeaseSpec, QueueReport, Refusal, RelayedCommand, Reply,
-    ReplySink, ServedLease, TimedCommand,
+    Failure, GatePass, LeaseOpening, LeaseServer, LeaseSpec, MAX_PAYLOAD_BYTES, QueueReport, Refusal,
+    RelayedCommand, Reply, ReplySink, ServedLease, TimedCommand,
 };
 use crate::{Answer, CallerError, Command, Connector, TransactionStatus, clock};
 use async_channel::Receiver;
@@ -18,8 +18,6 @@
 
 /// Longest time for which a reserved connection and slot wait for their statement.
 const RESERVATION_TIME: Duration = Duration::from_millis(150);
-/// Timeout of commands that occupy no execution slot.
-const SESSION_COMMAND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time inside a transaction after which its requester counts as lost, beyond the time after which a requester
 /// ends the transaction itself.
 const LOST_REQUESTER_MARGIN: Duration = Duration::from_secs(1);
@@ -133,6 +131,9 @@
         let idle_limit = self.transaction_idle() + LOST_REQUESTER_MARGIN;
         loop {
             let recognises_repeats = lease.recognises_repeats();
+            if !self.fits(&answer) {
+                return Err(Failure::NoMemory.into());
+            }
             if answer.transaction_status == TransactionStatus::Idle {
                 drop(lease);
                 self.send_answer(answer, recognises_repeats);
@@ -187,7 +188,14 @@
         let definition = command.definition();
         if let Some(definition) = &definition {
             let prepared = self.until_closed(lease.prepare(definition)).await?;
-            prepared.map_err(|e| failure(&e))?;
+            if let Err(e) = prepared {
+                // Outside a transaction nothing of the statement was sent.
+                return Err(if lease.in_transaction {
+                    failure(&e)
+                } else {
+                    Refusal::Overloaded { retry_after_ms: 20 }.into()
+                });
+            }
         }
         let now = clock::now();
         if now >= deadline {
@@ -221,6 +229,12 @@
         Ok(answer)
     }
 
+    /// Whether an answer fits into a message. Anything larger would end the link, with the leases of all others.
+    fn fits(&self, answer: &Answer) -> bool {
+        let rows: usize = answer.rows.iter().map(|row| row.len()).sum();
+        matches!(self.replies, ReplySink::Local(_)) || rows <= MAX_PAYLOAD_BYTES
+    }
+
     fn send_answer(&self, answer: Answer, recognises_repeats: bool) {
         let queue = QueueReport {
             queued_micros: self.queued.as_micros() as u64,
--- a/crates/gateway/src/traffic/pace.rs
+++ b/crates/gateway/src/traffic/pace.rs
@@ -26,6 +26,8 @@
 const REFUSAL_FACTOR: f64 = 0.5;
 /// Lower bound of the rate as a fraction of the fair part. The pauses of the server's health bound it further.
 const MIN_FAIR_FRACTION: f64 = 0.25;
+/// Upper bound of the rate of one sender, relative to what the server is assumed to run.
+const MAX_RATE_FACTOR: f64 = 2.0;
 /// Minimum time between two decreases: statements that were in flight together report the same overload.
 const MIN_DECREASE_INTERVAL: Duration = Duration::from_millis(50);
 /// An answer is slow if it takes this many times the server's own best of late, and [`MIN_SLOW_EXCESS`] longer.
@@ -65,10 +67,19 @@
         self.instances >= MIN_INSTANCES_PER_SLOT * self.capacity.max(1) as usize
     }
 
+    /// Statements a second that the server is assumed to run.
+    fn server_rate(&self) -> f64 {
+        f64::from(self.capacity.max(1)) / ASSUMED_STATEMENT_TIME.as_secs_f64()
+    }
+
     /// Statements a second of one sender if all send equally many.
     fn fair_rate(&self) -> f64 {
-        let server_rate = f64::from(self.capacity.max(1)) / ASSUMED_STATEMENT_TIME.as_secs_f64();
-        server_rate / self.senders.max(1) as f64
+        self.server_rate() / self.senders.max(1) as f64
+    }
+
+    /// Upper bound of the rate of one sender. Without one, a refusal after many quick answers would lower nothing.
+    fn max_rate(&self) -> f64 {
+        self.server_rate() * MAX_RATE_FACTOR
     }
 }
 
@@ -231,9 +242,9 @@
         if failures >= MIN_SILENT_FAILURES && silence >= MIN_SILENCE {
             self.begin(PaceCause::Recovered, now, rng);
         }
-        let fair = self.share.fair_rate();
+        let share = self.share;
         if let Some(pace) = &mut self.pace {
-            pace.on_answer(took, fair, now);
+            pace.on_answer(took, &share, now);
         }
         self.end_if_due(now);
     }
@@ -309,16 +320,16 @@
 }
 
 impl Pace {
-    fn on_answer(&mut self, took: Duration, fair_rate: f64, now: Time) {
+    fn on_answer(&mut self, took: Duration, share: &PaceShare, now: Time) {
         let best = self.best.record(took, now);
         if took > best * SLOW_FACTOR && took > best + MIN_SLOW_EXCESS {
-            self.on_bad_sign(SLOW_ANSWER_FACTOR, fair_rate, now);
+            self.on_bad_sign(SLOW_ANSWER_FACTOR, share.fair_rate(), now);
             return;
         }
         self.good_since.get_or_insert(now);
         self.quick_answers += 1;
-        self.bucket
-            .set_rate(self.bucket.rate() * QUICK_ANSWER_FACTOR, now);
+        let rate = self.bucket.rate() * QUICK_ANSWER_FACTOR;
+        self.bucket.set_rate(rate.min(share.max_rate()), now);
     }
 
     /// Lowers the rate by `factor`, but not below `min_rate`.
--- a/crates/gateway/src/traffic/pool.rs
+++ b/crates/gateway/src/traffic/pool.rs
@@ -286,8 +286,9 @@
                 }
             }
         }
-        let service = Arc::clone(&lease.service);
+        let (service, server) = (Arc::clone(&lease.service), Arc::clone(&lease.server));
         self.dispatch(&service, now);
+        self.dispatch_gate(&service, &server, now);
     }
 
     pub(super) fn on_failure(&self, service: &str, server: &str, started: Time, now: Time) {
--- a/crates/gateway/src/traffic/pool_connect.rs
+++ b/crates/gateway/src/traffic/pool_connect.rs
@@ -19,7 +19,7 @@
 use wasabiyard_schedule::QueuedRequest;
 
 /// Timeout for opening a connection, the login at the backend server included.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
 impl<C> Pool<C>
 where
--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -2,6 +2,7 @@
 
 use super::connection_lease::ConnectionLease;
 use super::leased_connection::LeasedConnection;
+use super::overload_yield::OverloadYield;
 use super::pool::{LeaseResult, Pool, PoolError, Requester};
 use super::pool_queue::deliver_lease;
 use super::server_pool::{HeldLimits, pace_share};
@@ -39,6 +40,7 @@
             if let Some((pair, limit)) = holders.get(&id) {
                 let unchanged = server.relay.as_ref().is_some_and(|r| r.holders() == pair);
                 if !unchanged {
+                    server.yielding = OverloadYield::default();
                     server.relay = Some(sharing.route(&id, pair.clone()));
                 }
                 let is_holder = server.is_holder();
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -130,6 +130,10 @@
 
     /// Whether a connection can be leased to a statement of `class` without waiting.
     pub(super) fn available_to(&self, class: PriorityClass, limit: u32, now: Time) -> bool {
+        if self.relay_target(now).is_some() {
+            // The holder orders the classes.
+            return self.available(limit, now);
+        }
         self.available(limit, now)
             && self.yielding.allows(class, self.in_use, now)
             && self.waiting_transactions.iter().all(|waiting| class < *waiting)
--- a/crates/gateway/src/traffic/service_reach.rs
+++ b/crates/gateway/src/traffic/service_reach.rs
@@ -14,7 +14,16 @@
         ahead: usize,
         now: Time,
     ) -> Time {
-        let turn = |id: &Arc<str>, ahead| self.servers.get(id).map(|p| p.pace.turn(ahead, now));
+        let turn = |id: &Arc<str>, ahead| {
+            let server = self.servers.get(id)?;
+            let is_relayed = server.relay_target(now).is_some();
+            // The holder paces what is sent through it.
+            Some(if is_relayed {
+                now
+            } else {
+                server.pace.turn(ahead, now)
+            })
+        };
         let turn = match queue_kind {
             QueueKind::Primary => self.usable_primary().and_then(|(id, _)| turn(id, ahead)),
             QueueKind::Reads => {
