Test that a holder uses its server again after failures

A first form with real processes was dropped: the primary was replaced before the holder could try it again.

--- a/crates/gateway/tests/support/site.rs
+++ b/crates/gateway/tests/support/site.rs
@@ -34,6 +34,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Site {
     pub full: Rc<Cell<bool>>,
+    /// Whether the servers close the connection of each statement.
+    pub failing: Rc<Cell<bool>>,
     /// Ids of the statements that the servers received.
     pub received: Rc<RefCell<Vec<String>>>,
     loads: Rc<RefCell<HashMap<Arc<str>, Load>>>,
@@ -41,6 +43,7 @@
 }
 
 impl Site {
+    #[allow(dead_code, reason = "not all tests look at the load")]
     pub fn load(&self, server: &str) -> Load {
         self.loads.borrow().get(server).copied().unwrap_or_default()
     }
@@ -98,6 +101,10 @@
         });
         let id = cmd.request_id().unwrap_or_default().to_owned();
         self.site.received.borrow_mut().push(id);
+        if self.site.failing.get() {
+            self.with_load(|load| load.running -= 1);
+            return Err(ConnectionError::Closed);
+        }
         if self.site.full.get() {
             self.with_load(|load| load.running -= 1);
             return Ok(Answer::error(CallerError::Busy, "full", status));
