--- a/crates/gateway/tests/held_server.rs
+++ b/crates/gateway/tests/held_server.rs
@@ -31,15 +31,19 @@
 }
 
 /// A fleet whose only live instance is this one, so that it holds every server.
-fn open_holder(site: &Site, executor: &Rc<LocalExecutor<'static>>) -> Rc<SessionContext<Site>> {
+fn holder_snapshot() -> Arc<ClusterSnapshot> {
     let members = vec![
         listed("i1", ListedState::Live),
         listed("i2", ListedState::Leaving),
     ];
-    let shared = Arc::new(ClusterSnapshot {
+    Arc::new(ClusterSnapshot {
         members,
         ..snapshot(OverloadOrder::Shared)
-    });
+    })
+}
+
+fn open_holder(site: &Site, executor: &Rc<LocalExecutor<'static>>) -> Rc<SessionContext<Site>> {
+    let shared = holder_snapshot();
     let cx = open_context(site, OverloadOrder::Shared, executor);
     let rule = SharingRule {
         enabled: true,
@@ -83,6 +87,8 @@
         }
         site.failing.set(false);
         Timer::after(RETRY_PAUSE).await;
+        // The view lease of the first snapshot may be over.
+        cx.pool.update(&holder_snapshot(), clock::now());
         let answer = read(&cx, "after").await;
         assert_eq!(answer.failure(), None, "{answer:?}");
     }));
