Let holders keep at most three fifths of a server's connections idle

Cause: when all instances lose power, a server keeps their connections for some seconds.

Ruled out: the time of the handshakes of links, by the refused connections.

--- a/crates/gateway/src/traffic/relay.rs
+++ b/crates/gateway/src/traffic/relay.rs
@@ -17,6 +17,9 @@
 
 /// Part of a server's connections that its holder opens; the rest is left to instances that cannot reach it.
 const HOLDER_FRACTION: f64 = 0.9;
+/// Part of a server's connections that its holder keeps idle. When all instances lose power at once, the server keeps their
+/// connections for some seconds, and the restarted holder needs free ones.
+const HOLDER_IDLE_FRACTION: f64 = 0.6;
 /// Idle timeout of the holder's connections. They are closed earlier when another organisation needs one.
 const HOLDER_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle timeout while this instance is not the holder, but serves others that take it for one or suspect the holder.
@@ -46,6 +49,7 @@
                 let is_holder = server.is_holder();
                 server.held_limits = Some(HeldLimits {
                     max_open: ((f64::from(*limit) * HOLDER_FRACTION) as u32).max(1),
+                    max_idle: ((f64::from(*limit) * HOLDER_IDLE_FRACTION) as u32).max(1),
                     idle_timeout: if is_holder {
                         HOLDER_IDLE_TIMEOUT
                     } else {
--- a/crates/gateway/src/traffic/server_pool.rs
+++ b/crates/gateway/src/traffic/server_pool.rs
@@ -31,6 +31,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct HeldLimits {
     pub(super) max_open: u32,
+    pub(super) max_idle: u32,
     pub(super) idle_timeout: Duration,
 }
 
@@ -185,7 +186,7 @@
 
     /// Maximum number of idle connections.
     pub(super) fn max_idle(&self, limits: &ConnectionLimits) -> u32 {
-        self.held_limits.map_or(limits.max_idle, |l| l.max_open)
+        self.held_limits.map_or(limits.max_idle, |l| l.max_idle)
     }
 
     /// Idle time after which a connection is closed.
