--- a/review/standins-2/standin.py
+++ b/review/standins-2/standin.py
@@ -132,6 +132,11 @@
                 return 200, old
             return 200, self.write(kind, name, value.get("spec"))
 
+    def remove(self, kind, name):
+        with self.lock:
+            if self.kinds.get(kind, {}).pop(name, None):
+                self.revision += 1
+
     def write(self, kind, name, spec):
         with self.lock:
             objects = self.kinds.setdefault(kind, {})
@@ -166,6 +171,8 @@
         self.capacity = capacity
         self.work_s = work_s
         self.zones = zones
+        # Whether replicas receive nothing.
+        self.deaf = False
         self.databases = [Database(self, f"i-{service}-{n}", zones[n % len(zones)]) for n in range(count)]
         self.databases[0].primary = True
         threading.Thread(target=self.beat, daemon=True).start()
@@ -190,12 +197,25 @@
                 return False
             for write in writes:
                 database.log.append((database.term, *write))
-            if database.term == self.term:
+            if database.term == self.term and not self.deaf:
                 for other in self.databases:
                     if not other.primary and not other.down:
                         other.log = list(database.log)
             return True
 
+    def come_back(self, crashed, name):
+        """A database that has crashed is back under a new id, with its log, and as what it was if nobody was promoted."""
+        database = Database(self, name, crashed.zone)
+        with self.lock:
+            database.log = list(crashed.log)
+            database.term = crashed.term
+            database.primary = crashed.primary and crashed.term == self.term
+            self.databases[self.databases.index(crashed)] = database
+        database.register(1)
+        # The entry of the old id is removed after three heartbeat intervals of silence.
+        threading.Timer(3.6, self.store.remove, ["servers", crashed.name]).start()
+        return database
+
     def promote(self, name):
         database = next((d for d in self.databases if d.name == name), None)
         if database is None or database.down:
