Log what a candidate reports while its promotion is awaited

The log could not tell these causes apart:

1. the candidate leads already, so the order changes nothing, and its term never rises: it answers, as primary, with the term of the record; 2. the candidate cannot be asked (another address or id, no free connection): no answers; 3. the order takes effect at another server or in another term: it answers as a replica, or with a later term; 4. the promotion succeeds and the record cannot be written: no such log line, an error of the store instead.

'successor chosen' now names the claimed role and the log point, and 'promotion has not taken effect' the last status and the number of unanswered queries.

No logic is changed.

--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -275,14 +275,21 @@
         candidate: &Arc<str>,
         deadline: Time,
     ) -> Option<ServerStatus> {
+        let mut last_status = None;
+        let mut unanswered = 0_u32;
         while clock::now() < deadline {
             Timer::after(STEP_POLL_PERIOD).await;
             let status = self.send_command(service, candidate, ServerCommand::Status).await;
             if let Some(status) = status.filter(|s| record.is_promoted(s)) {
                 return Some(status);
             }
+            unanswered += u32::from(status.is_none());
+            last_status = status.or(last_status);
         }
-        log::info!(service:% = service, candidate:% = candidate, after:% = record.term; "promotion has not taken effect");
+        log::info!(
+            service:% = service, candidate:% = candidate, after:% = record.term, last_status:? = last_status, unanswered;
+            "promotion has not taken effect"
+        );
         None
     }
 
--- a/crates/gateway/src/control/successor_search.rs
+++ b/crates/gateway/src/control/successor_search.rs
@@ -98,8 +98,8 @@
             let is_overdue = clock::now() >= deadline;
             if let Some(best) = survey.choose(commits, is_overdue) {
                 log::info!(
-                    service:% = service, candidate:% = best.server, term:% = best.status.term,
-                    in_history = best.in_history, complete = survey.holds_all(best, commits), unheard:? = survey.unheard;
+                    service:% = service, candidate:% = best.server, claims_to_lead = best.status.primary,
+                    term:% = best.status.term, received:? = best.status.received, in_history = best.in_history, complete = survey.holds_all(best, commits), unheard:? = survey.unheard;
                     "successor chosen"
                 );
                 return Some(best.clone());
