Use a primary that has come back by itself instead of ordering its promotion for ever

Cause: the holder of the failover lease ordered the promotion of the returned primary, which the promotion service accepts and which changes nothing, and waited for a later term. It repeated that without a bound and without looking at the servers again. Ruled out by: a candidate that cannot be asked, an effect elsewhere, a record that cannot be written.

Change: the record says whether a promotion may have been ordered since a server was seen to lead its term. If none was, whoever leads that term is used as it is. A server that leads a later term is used whichever it is. After an accepted order without effect the candidate is used if it still leads the recorded term and no server knows a later one: had another one been promoted, the order would have begun a later term. Each order follows a look at all servers; pauses grow, and after three orders in vain another candidate goes first. A first record takes the term that its primary reports. The steps after the choice move to promotion.rs.

Why it is safe: a promotion comes only from an order, and an order only after a record that says so. A claim to lead is believed only where no order can have made another server the primary, or where the order just sent would have shown it.

--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -4,29 +4,24 @@
 //! them.
 
 use super::control_loop::{ControlThread, OutboundMessage};
-use super::failover::{failover_reason, only_passes_log_on};
+use super::failover::failover_reason;
 use super::records;
 use super::server_commands::ServerCommand;
 use super::store_calls::StoreCallKind;
 use super::successor::OldPrimaryStep;
-use crate::{
-    Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, PromotionOrder,
-    PromotionResponse, Role, ServerStatus, clock,
-};
+use crate::{Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, Role, clock};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use wasabiyard_model::{InstanceId, Time};
+use wasabiyard_model::InstanceId;
 use wasabiyard_platform::{Platform, PlatformError, Precondition};
 
 /// Period of checking all primaries.
 const PRIMARY_CHECK_PERIOD: Duration = Duration::from_millis(100);
 /// Period of polling whether a step has taken effect.
 pub(super) const STEP_POLL_PERIOD: Duration = Duration::from_millis(40);
-/// Longest wait for a promotion to take effect before it is ordered again.
-const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 impl<P, D, M, C> ControlThread<P, D, M, C>
 where
@@ -107,9 +102,7 @@
         match record.leadership.clone() {
             Leadership::Serving { primary } => self.replace_if_needed(service, &record, primary).await,
             Leadership::Moving { from } => self.advance_moving(service, &record, from).await,
-            Leadership::Promoting { from, candidate } => {
-                self.advance_promoting(service, &record, from, candidate).await
-            }
+            Leadership::Promoting { from, .. } => self.promote_successor(service, &record, from).await,
         }
     }
 
@@ -127,10 +120,15 @@
                 _ => return Ok(()),
             }
         };
+        // Before, a promotion that a restored store has forgotten may not have taken effect.
+        let has_settled = self.state.borrow().has_settled(clock::now());
+        let status = self.send_command(service, &primary, ServerCommand::Status).await;
+        let term = status.filter(|s| s.primary && has_settled).map(|s| s.term);
         let floor = self.state.borrow().generation.current().counter_floor();
         let record = PrimaryRecord {
             epoch: floor + 1,
-            ..PrimaryRecord::first(primary)
+            is_term_current: term.is_some(),
+            ..PrimaryRecord::first(primary).with_term(term.unwrap_or_default())
         };
         self.write_record(service, record).await
     }
@@ -169,7 +167,7 @@
         }
     }
 
-    /// Waits until no instance uses the old primary, demotes it, then chooses and records the candidate to promote.
+    /// Waits until no instance uses the old primary, then gives the service another one.
     async fn advance_moving(
         &self,
         service: &Arc<str>,
@@ -190,22 +188,7 @@
                 return self.write_record(service, next).await;
             }
         }
-        let demoted = self.demote(service, &from).await;
-        let old_point = demoted.map(|d| d.received);
-        let served_term = demoted.and_then(|d| d.served_term).unwrap_or_default();
-        let record = record.clone().with_term(record.term.max(served_term));
-        let Some(chosen) = self.await_candidate(service, &from, old_point).await else {
-            return Ok(());
-        };
-        let candidate = chosen.server;
-        let next = record
-            .followed_by(Leadership::Promoting {
-                from: Arc::clone(&from),
-                candidate: Arc::clone(&candidate),
-            })
-            .with_term(record.term_before_promotion(&chosen.status));
-        self.write_record(service, next.clone()).await?;
-        self.advance_promoting(service, &next, from, candidate).await
+        self.promote_successor(service, record, from).await
     }
 
     /// Sends a primary record to the instances `to`.
@@ -222,77 +205,6 @@
         state.snapshot.members.iter().map(|m| m.id.clone()).collect()
     }
 
-    /// Orders the promotion of the candidate, waits until it is the primary, and records it as serving. A candidate
-    /// that refuses sends the service back to choosing one; a timeout leaves the record, so the next step orders
-    /// again.
-    async fn advance_promoting(
-        &self,
-        service: &Arc<str>,
-        record: &PrimaryRecord,
-        from: Arc<str>,
-        candidate: Arc<str>,
-    ) -> Result<(), PlatformError> {
-        let Some(fence) = self.held_fence() else {
-            return Ok(());
-        };
-        let response = self
-            .promoter
-            .promote(PromotionOrder {
-                service,
-                candidate: &candidate,
-                holder: self.settings.instance.id.as_str(),
-                fence,
-            })
-            .await;
-        log::info!(service:% = service, candidate:% = candidate, fence, answer:? = response; "promotion ordered");
-        if response == PromotionResponse::Refused {
-            let next = record.followed_by(Leadership::Moving { from });
-            return self.write_record(service, next).await;
-        }
-        let deadline = clock::now() + PROMOTION_TIMEOUT;
-        let Some(promoted) = self.await_promotion(service, record, &candidate, deadline).await else {
-            return Ok(());
-        };
-        let only_passes_log_on = {
-            let state = self.state.borrow();
-            only_passes_log_on(service, &candidate, &state.snapshot)
-        };
-        let leadership = if only_passes_log_on {
-            log::info!(service:% = service, server:% = candidate; "promoted a server that leaves; it only passes its log on");
-            Leadership::Moving { from: candidate }
-        } else {
-            Leadership::Serving { primary: candidate }
-        };
-        let next = record.after_promotion(leadership, &promoted);
-        self.write_record(service, next).await
-    }
-
-    /// Waits until the candidate leads a term after that of `record`, and returns its status; `None` at `deadline`.
-    async fn await_promotion(
-        &self,
-        service: &Arc<str>,
-        record: &PrimaryRecord,
-        candidate: &Arc<str>,
-        deadline: Time,
-    ) -> Option<ServerStatus> {
-        let mut last_status = None;
-        let mut unanswered = 0_u32;
-        while clock::now() < deadline {
-            Timer::after(STEP_POLL_PERIOD).await;
-            let status = self.send_command(service, candidate, ServerCommand::Status).await;
-            if let Some(status) = status.filter(|s| record.is_promoted(s)) {
-                return Some(status);
-            }
-            unanswered += u32::from(status.is_none());
-            last_status = status.or(last_status);
-        }
-        log::info!(
-            service:% = service, candidate:% = candidate, after:% = record.term, last_status:? = last_status, unanswered;
-            "promotion has not taken effect"
-        );
-        None
-    }
-
     /// Writes a primary record and announces it to all members. The write is conditional on the version last read, so
     /// it fails when another holder of the lease has changed the record.
     pub(super) async fn write_record(
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod leadership_task;
 mod poll;
 mod poll_health;
+mod promotion;
 mod reached_generation;
 mod record_recovery;
 mod records;
--- /dev/null
+++ b/crates/gateway/src/control/promotion.rs
@@ -0,0 +1,195 @@
+//! The steps that give a service a primary while no instance uses one: look at its backend servers, and use the one that
+//! leads already, or order the promotion of a candidate and wait until it leads.
+//!
+//! An order may have no effect: its answer was lost, the candidate has crashed, or it was the primary before and the
+//! promotion service changes nothing. Each order therefore follows a look at all servers, and pauses between orders grow.
+//! The primary record counts them, so the next holder of the failover lease goes on where this one stops.
+
+use super::control_loop::ControlThread;
+use super::failover::only_passes_log_on;
+use super::leadership_task::STEP_POLL_PERIOD;
+use super::server_commands::{COMMAND_TIMEOUT, ServerCommand};
+use super::successor::CandidateStatus;
+use super::successor_search::Successor;
+use crate::{
+    Connector, Discovery, Leadership, PrimaryRecord, Promoter, PromotionOrder, PromotionResponse,
+    ServerStatus, clock,
+};
+use async_io::Timer;
+use std::sync::Arc;
+use std::time::Duration;
+use wasabiyard_model::Time;
+use wasabiyard_platform::{Platform, PlatformError};
+
+/// Longest wait for a promotion to take effect.
+const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Pause after the first order without effect; it doubles with each further one.
+const INITIAL_ORDER_PAUSE: Duration = Duration::from_millis(200);
+const MAX_ORDER_PAUSE: Duration = Duration::from_millis(3_200);
+
+/// Pause after the last of `orders` orders without effect.
+fn order_pause(orders: u32) -> Duration {
+    let doublings = orders.saturating_sub(1).min(16);
+    MAX_ORDER_PAUSE.min(INITIAL_ORDER_PAUSE * (1 << doublings))
+}
+
+impl<P, D, M, C> ControlThread<P, D, M, C>
+where
+    P: Platform + 'static,
+    D: Discovery + 'static,
+    M: Promoter + 'static,
+    C: Connector + 'static,
+{
+    /// Demotes the old primary, then uses the server that leads already, or promotes a candidate. Each order starts here, so
+    /// none is repeated without a look at all servers.
+    pub(super) async fn promote_successor(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        from: Arc<str>,
+    ) -> Result<(), PlatformError> {
+        let demoted = self.demote(service, &from).await;
+        let old_point = demoted.map(|d| d.received);
+        let served_term = demoted.and_then(|d| d.served_term).unwrap_or_default();
+        let record = record.clone().with_term(record.term.max(served_term));
+        match self.await_successor(service, &record, &from, old_point).await {
+            None => Ok(()),
+            Some(Successor::Leads(leader)) => self.use_leader(service, &record, leader).await,
+            Some(Successor::Candidate(chosen)) => {
+                let candidate = Arc::clone(&chosen.server);
+                let next = record.promoting(Arc::clone(&from), candidate, &chosen.status);
+                self.write_record(service, next.clone()).await?;
+                self.order_promotion(service, &next, from, chosen.server).await
+            }
+        }
+    }
+
+    /// Records a server that leads already as the primary. One that must not get new work is replaced at once.
+    async fn use_leader(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        leader: CandidateStatus,
+    ) -> Result<(), PlatformError> {
+        if self.held_fence().is_none() {
+            // Another holder may have had a server promoted meanwhile.
+            return Ok(());
+        }
+        let CandidateStatus { server, status, .. } = leader;
+        log::info!(
+            service:% = service, server:% = server, term:% = status.term, after:% = record.term, orders = record.orders;
+            "server leads already"
+        );
+        let leadership = if leader.accepts_new_work {
+            Leadership::Serving { primary: server }
+        } else {
+            Leadership::Moving { from: server }
+        };
+        self.write_record(service, record.after_look(leadership, &status))
+            .await
+    }
+
+    /// Orders the promotion of the candidate, waits until it is the primary, and records it as serving. A candidate that
+    /// refuses sends the service back to choosing one; an order without effect leaves the record, so the next step looks
+    /// again.
+    async fn order_promotion(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        from: Arc<str>,
+        candidate: Arc<str>,
+    ) -> Result<(), PlatformError> {
+        let Some(fence) = self.held_fence() else {
+            return Ok(());
+        };
+        let response = self
+            .promoter
+            .promote(PromotionOrder {
+                service,
+                candidate: &candidate,
+                holder: self.settings.instance.id.as_str(),
+                fence,
+            })
+            .await;
+        log::info!(
+            service:% = service, candidate:% = candidate, fence, orders = record.orders, answer:? = response;
+            "promotion ordered"
+        );
+        match response {
+            PromotionResponse::Refused => {
+                let next = record.followed_by(Leadership::Moving { from });
+                return self.write_record(service, next).await;
+            }
+            PromotionResponse::Throttled => {
+                Timer::after(order_pause(record.orders)).await;
+                return Ok(());
+            }
+            PromotionResponse::Accepted | PromotionResponse::Unknown => {}
+        }
+        let deadline = clock::now() + PROMOTION_TIMEOUT;
+        let Some(promoted) = self.await_promotion(service, record, &candidate, deadline).await else {
+            return self
+                .after_fruitless_order(service, record, &from, &candidate, response)
+                .await;
+        };
+        let only_passes_log_on = {
+            let state = self.state.borrow();
+            only_passes_log_on(service, &candidate, &state.snapshot)
+        };
+        let leadership = if only_passes_log_on {
+            log::info!(service:% = service, server:% = candidate; "promoted a server that leaves; it only passes its log on");
+            Leadership::Moving { from: candidate }
+        } else {
+            Leadership::Serving { primary: candidate }
+        };
+        let next = record.after_promotion(leadership, &promoted);
+        self.write_record(service, next).await
+    }
+
+    /// After an order without effect, uses the candidate if the order was accepted and changed nothing because the candidate
+    /// was the primary before. Otherwise pauses before the next look.
+    async fn after_fruitless_order(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        from: &Arc<str>,
+        candidate: &str,
+        response: PromotionResponse,
+    ) -> Result<(), PlatformError> {
+        if response == PromotionResponse::Accepted {
+            let deadline = clock::now() + COMMAND_TIMEOUT;
+            let survey = self.survey_candidates(service, from, deadline).await;
+            if let Some(leader) = survey.leader_despite_order(record, candidate) {
+                return self.use_leader(service, record, leader.clone()).await;
+            }
+        }
+        Timer::after(order_pause(record.orders)).await;
+        Ok(())
+    }
+
+    /// Waits until the candidate leads a term after that of `record`, and returns its status; `None` at `deadline`.
+    async fn await_promotion(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        candidate: &Arc<str>,
+        deadline: Time,
+    ) -> Option<ServerStatus> {
+        let mut last_status = None;
+        let mut unanswered = 0_u32;
+        while clock::now() < deadline {
+            Timer::after(STEP_POLL_PERIOD).await;
+            let status = self.send_command(service, candidate, ServerCommand::Status).await;
+            if let Some(status) = status.filter(|s| record.is_promoted(s)) {
+                return Some(status);
+            }
+            unanswered += u32::from(status.is_none());
+            last_status = status.or(last_status);
+        }
+        log::info!(
+            service:% = service, candidate:% = candidate, after:% = record.term, last_status:? = last_status, unanswered;
+            "promotion has not taken effect"
+        );
+        None
+    }
+}
--- a/crates/gateway/src/control/successor.rs
+++ b/crates/gateway/src/control/successor.rs
@@ -7,8 +7,12 @@
 //!
 //! A former primary that was replaced without its last commits keeps them until it hears of its successor. Its log may
 //! look like the most advanced one, but has left the history: callers have read without those commits since.
+//!
+//! A primary that crashes may come back as the primary by itself, also under another id. To order its promotion changes
+//! nothing, so nothing that follows from an order can be waited for. It is used as it is, once it is sure that no other
+//! server has been promoted meanwhile.
 
-use crate::ServerStatus;
+use crate::{PrimaryRecord, ServerStatus};
 use std::sync::Arc;
 use wasabiyard_model::LogPoint;
 
@@ -49,16 +53,53 @@
     /// unless the service promises that they survive. Ties go to the smaller id, so that the next holder of the failover
     /// lease makes the same choice. One whose log has left the history is taken only if no other server is left.
     pub fn choose(&self, commits: AcknowledgedCommits, is_overdue: bool) -> Option<&CandidateStatus> {
+        self.choose_besides(None, commits, is_overdue)
+    }
+
+    /// The same, but `avoided` is chosen only if no other candidate is eligible when the time for waiting is over.
+    pub fn choose_besides(
+        &self,
+        avoided: Option<&str>,
+        commits: AcknowledgedCommits,
+        is_overdue: bool,
+    ) -> Option<&CandidateStatus> {
         let may_lose = is_overdue && commits.sync_replicas == 0;
         let none_else = may_lose && self.unheard.is_empty() && !self.answered.iter().any(|c| c.in_history);
         let eligible = self.answered.iter().filter(|c| {
             let is_complete = may_lose || self.holds_all(c, commits);
             none_else || (c.in_history && is_complete)
         });
-        eligible.max_by(|a, b| {
-            let rank = |c: &CandidateStatus| (c.accepts_new_work, c.status.received);
+        let is_avoided = |c: &CandidateStatus| avoided == Some(&*c.server);
+        let best = eligible.max_by(|a, b| {
+            let rank = |c: &CandidateStatus| (!is_avoided(c), c.accepts_new_work, c.status.received);
             rank(a).cmp(&rank(b)).then_with(|| b.server.cmp(&a.server))
-        })
+        });
+        best.filter(|c| is_overdue || !is_avoided(c))
+    }
+
+    /// The server that leads already, so that no promotion is needed. One that was promoted is taken as soon as it answers.
+    /// One that still leads the recorded term has every commit of it, so a candidate that is ahead shows that it has lost its
+    /// log; the others are waited for until `is_overdue`.
+    pub fn leader(&self, record: &PrimaryRecord, is_overdue: bool) -> Option<&CandidateStatus> {
+        let leaders = self.answered.iter().filter(|c| record.is_led_by(&c.status));
+        let leader = leaders.max_by_key(|c| c.status.term)?;
+        let is_sure = leader.status.term > record.term
+            || (self.is_most_advanced(leader) && (is_overdue || self.unheard.is_empty()));
+        is_sure.then_some(leader)
+    }
+
+    /// The candidate of an accepted order that has had no effect, if that is because it was the primary before. If another
+    /// server had been promoted, the order would have begun a later term by now, and the others may know one.
+    pub fn leader_despite_order(&self, record: &PrimaryRecord, candidate: &str) -> Option<&CandidateStatus> {
+        let knows_later_term = self.answered.iter().any(|c| c.status.term > record.term);
+        let leader = self.answered.iter().find(|c| *c.server == *candidate)?;
+        let still_leads = leader.status.primary && leader.status.term == record.term;
+        (still_leads && !knows_later_term && self.is_most_advanced(leader)).then_some(leader)
+    }
+
+    fn is_most_advanced(&self, candidate: &CandidateStatus) -> bool {
+        let mut rivals = self.answered.iter().filter(|c| c.in_history);
+        rivals.all(|c| candidate.status.received >= c.status.received)
     }
 
     /// Whether a candidate is known to hold every acknowledged commit.
@@ -68,11 +109,7 @@
             _ if !candidate.in_history => false,
             Some(old_point) if received >= old_point => true,
             Some(_) if commits.sync_replicas == 0 => false,
-            _ => {
-                let mut rivals = self.answered.iter().filter(|c| c.in_history);
-                let is_most_advanced = rivals.all(|c| received >= c.status.received);
-                is_most_advanced && self.is_conclusive(commits.sync_replicas)
-            }
+            _ => self.is_most_advanced(candidate) && self.is_conclusive(commits.sync_replicas),
         }
     }
 
--- a/crates/gateway/src/control/successor_search.rs
+++ b/crates/gateway/src/control/successor_search.rs
@@ -8,7 +8,7 @@
 use super::successor::{
     AcknowledgedCommits, CandidateStatus, CandidateSurvey, OldPrimaryStep, old_primary_step,
 };
-use crate::{Connector, Discovery, Promoter, clock};
+use crate::{Connector, Discovery, PrimaryRecord, Promoter, clock};
 use async_io::Timer;
 use futures_lite::FutureExt;
 use futures_util::future::join_all;
@@ -20,6 +20,15 @@
 /// Longest wait for a replica to receive the whole log of the old primary.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The server that is to be the primary next.
+#[derive(Debug)]
+pub(super) enum Successor {
+    /// It leads already, so that an order to promote it would change nothing.
+    Leads(CandidateStatus),
+    /// It is to be promoted.
+    Candidate(CandidateStatus),
+}
+
 impl<P, D, M, C> ControlThread<P, D, M, C>
 where
     P: Platform + 'static,
@@ -79,30 +88,37 @@
         }
     }
 
-    /// Chooses the backend server to promote. Waits up to [`CATCH_UP_TIMEOUT`] for one that is known to hold all
-    /// acknowledged commits. `old_point` is the log point of the old primary, `None` if that does not answer.
-    pub(super) async fn await_candidate(
+    /// Finds the server that leads already, or chooses the one to promote. Waits up to [`CATCH_UP_TIMEOUT`] for one that is
+    /// known to hold all acknowledged commits. `old_point` is the log point of the old primary, `None` if that does not
+    /// answer.
+    pub(super) async fn await_successor(
         &self,
         service: &Arc<str>,
+        record: &PrimaryRecord,
         from: &Arc<str>,
         old_point: Option<LogPoint>,
-    ) -> Option<CandidateStatus> {
+    ) -> Option<Successor> {
         let deadline = clock::now() + CATCH_UP_TIMEOUT;
         let commits = AcknowledgedCommits {
             old_point,
             sync_replicas: self.state.borrow().snapshot.sync_replicas(service),
         };
+        let avoided = record.fruitless_candidate().map(|c| &**c);
         let mut survey = CandidateSurvey::default();
         loop {
             survey.merge(self.survey_candidates(service, from, deadline).await);
             let is_overdue = clock::now() >= deadline;
-            if let Some(best) = survey.choose(commits, is_overdue) {
+            if let Some(leader) = survey.leader(record, is_overdue) {
+                return Some(Successor::Leads(leader.clone()));
+            }
+            if let Some(best) = survey.choose_besides(avoided, commits, is_overdue) {
                 log::info!(
                     service:% = service, candidate:% = best.server, claims_to_lead = best.status.primary,
-                    term:% = best.status.term, received:? = best.status.received, in_history = best.in_history, complete = survey.holds_all(best, commits), unheard:? = survey.unheard;
+                    term:% = best.status.term, received:? = best.status.received, in_history = best.in_history,
+                    complete = survey.holds_all(best, commits), unheard:? = survey.unheard;
                     "successor chosen"
                 );
-                return Some(best.clone());
+                return Some(Successor::Candidate(best.clone()));
             }
             if is_overdue {
                 log::info!(
@@ -118,7 +134,7 @@
 
     /// Queries all failover candidates of a service at the same time. Those that have not answered at `deadline` are
     /// unheard.
-    async fn survey_candidates(
+    pub(super) async fn survey_candidates(
         &self,
         service: &Arc<str>,
         from: &Arc<str>,
--- a/crates/gateway/src/primary_record.rs
+++ b/crates/gateway/src/primary_record.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use wasabiyard_model::{Term, TermHistory};
 
+/// Orders of a promotion without effect from which on candidates take turns.
+const MAX_ORDERS: u32 = 3;
+
 /// State of a service's primary, or of its replacement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -42,6 +45,14 @@
     /// The terms that promotions have begun, and the log positions after which they did.
     #[serde(default)]
     pub history: TermHistory,
+    /// Whether no promotion has been ordered since a server was seen to lead `term`. Whoever claims to lead that term is
+    /// the primary then; otherwise it may be one that has not heard of its successor. Records of builds before this field
+    /// do not tell.
+    #[serde(default)]
+    pub is_term_current: bool,
+    /// Promotions that have been ordered since the service last had a primary.
+    #[serde(default)]
+    pub orders: u32,
 }
 
 impl PrimaryRecord {
@@ -52,6 +63,8 @@
             leadership: Leadership::Serving { primary },
             term: Term(0),
             history: TermHistory::default(),
+            is_term_current: false,
+            orders: 0,
         }
     }
 
@@ -61,19 +74,49 @@
         Self {
             epoch: self.epoch + 1,
             leadership,
-            term: self.term,
-            history: self.history.clone(),
+            ..self.clone()
+        }
+    }
+
+    /// The record to write before the promotion of a candidate is ordered.
+    #[must_use]
+    pub fn promoting(&self, from: Arc<str>, candidate: Arc<str>, status: &ServerStatus) -> Self {
+        Self {
+            is_term_current: false,
+            orders: self.orders + 1,
+            ..self
+                .followed_by(Leadership::Promoting { from, candidate })
+                .with_term(self.term_before_promotion(status))
         }
     }
 
     /// The record after the promotion of a candidate, which reports `promoted` before it gets any work.
     #[must_use]
     pub fn after_promotion(&self, leadership: Leadership, promoted: &ServerStatus) -> Self {
-        let mut next = self.followed_by(leadership).with_term(promoted.term);
+        let mut next = self.led_by(leadership, promoted.term);
         next.history.fork(promoted.term, promoted.received.position);
         next
     }
 
+    /// The record after a server was found to lead, which reports `leader` before it gets any work. One that leads the
+    /// recorded term has not been promoted since, and begins no new branch of the history.
+    #[must_use]
+    pub fn after_look(&self, leadership: Leadership, leader: &ServerStatus) -> Self {
+        if leader.term > self.term {
+            self.after_promotion(leadership, leader)
+        } else {
+            self.led_by(leadership, self.term)
+        }
+    }
+
+    fn led_by(&self, leadership: Leadership, term: Term) -> Self {
+        Self {
+            is_term_current: true,
+            orders: 0,
+            ..self.followed_by(leadership).with_term(term)
+        }
+    }
+
     /// The same record with another term.
     #[must_use]
     pub fn with_term(mut self, term: Term) -> Self {
@@ -97,6 +140,22 @@
         status.primary && status.term > self.term
     }
 
+    /// Whether a status shows that its server leads now, whatever its id: it was promoted after the recorded term, or it is
+    /// still the primary of that term, because nobody was ordered to succeed it. A primary that crashes and comes back
+    /// under another id does not change its term.
+    pub fn is_led_by(&self, status: &ServerStatus) -> bool {
+        let is_later = self.term != Term::default() && self.is_promoted(status);
+        is_later || (self.is_term_current && status.primary && status.term == self.term)
+    }
+
+    /// Id of a candidate whose promotion has been ordered so often without effect that another one is preferred.
+    pub fn fruitless_candidate(&self) -> Option<&Arc<str>> {
+        match &self.leadership {
+            Leadership::Promoting { candidate, .. } if self.orders >= MAX_ORDERS => Some(candidate),
+            _ => None,
+        }
+    }
+
     /// Id of the primary; `None` while it is being replaced.
     pub fn serving(&self) -> Option<&Arc<str>> {
         match &self.leadership {
--- a/crates/gateway/tests/successor.rs
+++ b/crates/gateway/tests/successor.rs
@@ -198,3 +198,122 @@
     let record: PrimaryRecord = record.expect("a record");
     assert_eq!(record, PrimaryRecord::first("p".into()));
 }
+
+/// A server that claims to be the primary of a term.
+fn claimant(server: &str, term: u64, position: u64) -> CandidateStatus {
+    let mut claimant = candidate(server, term, position);
+    claimant.status.primary = true;
+    claimant
+}
+
+/// A record of a replaced primary, which was seen to lead a term before.
+fn replaced_in_term(term: u64) -> PrimaryRecord {
+    let serving = Leadership::Serving { primary: "p".into() };
+    let served = PrimaryRecord::first("p".into()).after_promotion(serving, &status(true, term));
+    served.followed_by(Leadership::Moving { from: "p".into() })
+}
+
+fn ordered(record: &PrimaryRecord, candidate: &str) -> PrimaryRecord {
+    record.promoting("p".into(), candidate.into(), &status(false, record.term.0))
+}
+
+fn leader<'a>(survey: &'a CandidateSurvey, record: &PrimaryRecord, is_overdue: bool) -> Option<&'a str> {
+    survey.leader(record, is_overdue).map(|c| &*c.server)
+}
+
+/// An order to promote a primary that has come back under another id changes nothing, so its service waited for ever.
+#[test]
+fn a_primary_under_another_id_needs_no_promotion() {
+    let record = replaced_in_term(3);
+    let back = survey(&[claimant("p2", 3, 40), candidate("r1", 3, 38)], &[]);
+    assert_eq!(leader(&back, &record, false), Some("p2"));
+    let replicas = survey(&[candidate("r1", 3, 40), candidate("r2", 3, 41)], &[]);
+    assert_eq!(leader(&replicas, &record, true), None);
+}
+
+/// A former primary that has not heard of its successor looks the same once a promotion was ordered, and got writes that were
+/// lost.
+#[test]
+fn a_claim_to_lead_means_nothing_after_an_order() {
+    let former = survey(&[claimant("p2", 3, 40)], &[]);
+    assert_eq!(leader(&former, &ordered(&replaced_in_term(3), "r1"), true), None);
+    assert_eq!(leader(&former, &replaced_in_term(4), true), None);
+    let unknown = PrimaryRecord::first("p".into());
+    assert_eq!(leader(&former, &unknown, true), None);
+}
+
+/// A server that starts again empty may claim the term that it had; the commits are with the others.
+#[test]
+fn a_primary_that_has_lost_its_log_does_not_lead() {
+    let record = replaced_in_term(3);
+    let empty = survey(&[claimant("p2", 3, 0), candidate("r1", 3, 40)], &[]);
+    assert_eq!(leader(&empty, &record, true), None);
+    let unheard = survey(&[claimant("p2", 3, 0)], &["r1"]);
+    assert_eq!(leader(&unheard, &record, false), None);
+}
+
+/// The answer to an order was lost and another candidate is looked for, but the first one leads by now. Ordering again would
+/// replace it for nothing.
+#[test]
+fn a_server_that_was_promoted_before_a_new_look_leads() {
+    let record = ordered(&replaced_in_term(3), "r1");
+    let promoted = survey(&[claimant("p2", 3, 40), claimant("r1", 4, 38)], &["r2"]);
+    assert_eq!(leader(&promoted, &record, false), Some("r1"));
+}
+
+/// An accepted order that changes nothing shows that the candidate is the primary, unless somebody knows a later term.
+#[test]
+fn an_accepted_order_without_effect_shows_who_leads() {
+    let record = ordered(&replaced_in_term(3), "p2");
+    let leads = |answered: &[CandidateStatus]| {
+        let survey = survey(answered, &["r2"]);
+        survey
+            .leader_despite_order(&record, "p2")
+            .map(|c| c.server.to_string())
+    };
+    assert_eq!(
+        leads(&[claimant("p2", 3, 40), candidate("r1", 3, 38)]).as_deref(),
+        Some("p2")
+    );
+    assert_eq!(leads(&[claimant("p2", 3, 40), candidate("r1", 4, 38)]), None);
+    assert_eq!(leads(&[claimant("p2", 2, 40)]), None);
+    assert_eq!(leads(&[candidate("p2", 3, 40)]), None);
+    assert_eq!(leads(&[]), None);
+}
+
+/// A term that goes on begins no branch: commits that were dropped before stay dropped.
+#[test]
+fn a_primary_that_comes_back_keeps_the_history() {
+    let second = replaced_in_term(2);
+    let serving = Leadership::Serving { primary: "p2".into() };
+    let back = second.after_look(serving, &claimant("p2", 2, 90).status);
+    assert_eq!(back.history, second.history);
+    assert_eq!((back.term, back.is_term_current), (Term(2), true));
+    assert!(back.history.excludes(LogPoint::new(1, 50)));
+}
+
+/// An order for one candidate may never take effect while another candidate could lead.
+#[test]
+fn candidates_take_turns_after_orders_without_effect() {
+    let mut record = replaced_in_term(3);
+    let both = survey(&[candidate("r1", 3, 41), candidate("r2", 3, 40)], &[]);
+    let next = |record: &PrimaryRecord, is_overdue| {
+        let avoided = record.fruitless_candidate().map(|c| &**c);
+        let chosen = both.choose_besides(avoided, commits(None, 0), is_overdue);
+        chosen.map(|c| c.server.to_string())
+    };
+    for _ in 0..3 {
+        assert_eq!(next(&record, true).as_deref(), Some("r1"));
+        record = ordered(&record, "r1");
+    }
+    assert_eq!(next(&record, false), None);
+    assert_eq!(next(&record, true).as_deref(), Some("r2"));
+    record = ordered(&record, "r2");
+    assert_eq!(next(&record, true).as_deref(), Some("r1"));
+    let only = survey(&[candidate("r1", 3, 41)], &[]);
+    let avoided = only.choose_besides(Some("r1"), commits(None, 0), true);
+    assert_eq!(avoided.map(|c| &*c.server), Some("r1"));
+    // Commits that have to survive go before the turn.
+    let kept = both.choose_besides(Some("r1"), commits(None, 1), true);
+    assert_eq!(kept.map(|c| &*c.server), Some("r1"));
+}
