Use the old primary again when no other server answers

Callers: no write of a service was served while its replicas were down, though its primary had come back under its own id with all commits.

Cause: a primary that is replaced was demoted before any candidate was asked, and was never a candidate itself. The holder of the failover lease asked the silent replicas every 0.6 s without an end ('no candidate is known to hold all acknowledged commits', answered=0). Ruled out by the same log: the lease, the releases of the instances and the store, which all went on.

Change: the old primary is asked together with the candidates, and demoted only once one of them has answered. If none does, it is used if it still leads, or promoted where no commits have to survive. The answers of that first look count for the choice, so a replacement needs no further round of queries.

--- a/crates/gateway/src/control/promotion.rs
+++ b/crates/gateway/src/control/promotion.rs
@@ -8,14 +8,15 @@
 use super::control_loop::ControlThread;
 use super::failover::only_passes_log_on;
 use super::leadership_task::STEP_POLL_PERIOD;
-use super::server_commands::{COMMAND_TIMEOUT, ServerCommand};
+use super::server_commands::ServerCommand;
 use super::successor::CandidateStatus;
-use super::successor_search::Successor;
+use super::successor_search::{CATCH_UP_TIMEOUT, Successor};
 use crate::{
     Connector, Discovery, Leadership, PrimaryRecord, Promoter, PromotionOrder, PromotionResponse,
     ServerStatus, clock,
 };
 use async_io::Timer;
+use futures_lite::future::zip;
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::Time;
@@ -40,19 +41,35 @@
     M: Promoter + 'static,
     C: Connector + 'static,
 {
-    /// Demotes the old primary, then uses the server that leads already, or promotes a candidate. Each order starts here, so
-    /// none is repeated without a look at all servers.
+    /// Uses the server that leads already, or promotes a candidate. Each order starts here, so none is repeated without a look
+    /// at all servers. The old primary is demoted before, unless it is the only server that answers.
     pub(super) async fn promote_successor(
         &self,
         service: &Arc<str>,
         record: &PrimaryRecord,
         from: Arc<str>,
     ) -> Result<(), PlatformError> {
-        let demoted = self.demote(service, &from).await;
-        let old_point = demoted.map(|d| d.received);
-        let served_term = demoted.and_then(|d| d.served_term).unwrap_or_default();
-        let record = record.clone().with_term(record.term.max(served_term));
-        match self.await_successor(service, &record, &from, old_point).await {
+        let deadline = clock::now() + CATCH_UP_TIMEOUT;
+        let (old_status, survey) = zip(
+            self.send_command(service, &from, ServerCommand::Status),
+            self.survey_candidates(service, &from, deadline),
+        )
+        .await;
+        let mut record = record.clone();
+        let successor = if survey.answered.is_empty() {
+            self.old_primary_as_successor(service, &record, &from, old_status)
+        } else {
+            let demoted = match old_status {
+                Some(status) => self.demote(service, &from, status).await,
+                None => None,
+            };
+            let served_term = demoted.and_then(|d| d.served_term).unwrap_or_default();
+            record = record.clone().with_term(record.term.max(served_term));
+            let old_point = demoted.map(|d| d.received);
+            self.await_successor(service, &record, &from, survey, old_point, deadline)
+                .await
+        };
+        match successor {
             None => Ok(()),
             Some(Successor::Leads(leader)) => self.use_leader(service, &record, leader).await,
             Some(Successor::Candidate(chosen)) => {
@@ -129,7 +146,7 @@
         let deadline = clock::now() + PROMOTION_TIMEOUT;
         let Some(promoted) = self.await_promotion(service, record, &candidate, deadline).await else {
             return self
-                .after_fruitless_order(service, record, &from, &candidate, response)
+                .after_fruitless_order(service, record, &candidate, response)
                 .await;
         };
         let only_passes_log_on = {
@@ -152,13 +169,11 @@
         &self,
         service: &Arc<str>,
         record: &PrimaryRecord,
-        from: &Arc<str>,
         candidate: &str,
         response: PromotionResponse,
     ) -> Result<(), PlatformError> {
         if response == PromotionResponse::Accepted {
-            let deadline = clock::now() + COMMAND_TIMEOUT;
-            let survey = self.survey_candidates(service, from, deadline).await;
+            let survey = self.survey_all(service).await;
             if let Some(leader) = survey.leader_despite_order(record, candidate) {
                 return self.use_leader(service, record, leader.clone()).await;
             }
--- a/crates/gateway/src/control/server_commands.rs
+++ b/crates/gateway/src/control/server_commands.rs
@@ -38,9 +38,13 @@
     M: Promoter + 'static,
     C: Connector + 'static,
 {
-    /// Makes the old primary refuse writes, if it can be reached; `None` if it does not answer.
-    pub(super) async fn demote(&self, service: &Arc<str>, from: &Arc<str>) -> Option<DemotedPrimary> {
-        let before = self.send_command(service, from, ServerCommand::Status).await?;
+    /// Makes the old primary, which reports `before`, refuse writes. Returns what it tells, `None` if it does not answer.
+    pub(super) async fn demote(
+        &self,
+        service: &Arc<str>,
+        from: &Arc<str>,
+        before: ServerStatus,
+    ) -> Option<DemotedPrimary> {
         if !before.primary {
             return Some(DemotedPrimary {
                 received: before.received,
--- a/crates/gateway/src/control/successor_search.rs
+++ b/crates/gateway/src/control/successor_search.rs
@@ -8,7 +8,7 @@
 use super::successor::{
     AcknowledgedCommits, CandidateStatus, CandidateSurvey, OldPrimaryStep, old_primary_step,
 };
-use crate::{Connector, Discovery, PrimaryRecord, Promoter, clock};
+use crate::{Connector, Discovery, PrimaryRecord, Promoter, ServerStatus, clock};
 use async_io::Timer;
 use futures_lite::FutureExt;
 use futures_util::future::join_all;
@@ -18,7 +18,7 @@
 use wasabiyard_platform::Platform;
 
 /// Longest wait for a replica to receive the whole log of the old primary.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The server that is to be the primary next.
 #[derive(Debug)]
@@ -88,25 +88,24 @@
         }
     }
 
-    /// Finds the server that leads already, or chooses the one to promote. Waits up to [`CATCH_UP_TIMEOUT`] for one that is
-    /// known to hold all acknowledged commits. `old_point` is the log point of the old primary, `None` if that does not
-    /// answer.
+    /// Finds the server that leads already, or chooses the one to promote. Waits until `deadline` for one that is known to
+    /// hold all acknowledged commits. `survey` are the first answers, and `old_point` is the log point of the old primary,
+    /// `None` if that does not answer.
     pub(super) async fn await_successor(
         &self,
         service: &Arc<str>,
         record: &PrimaryRecord,
         from: &Arc<str>,
+        mut survey: CandidateSurvey,
         old_point: Option<LogPoint>,
+        deadline: Time,
     ) -> Option<Successor> {
-        let deadline = clock::now() + CATCH_UP_TIMEOUT;
         let commits = AcknowledgedCommits {
             old_point,
             sync_replicas: self.state.borrow().snapshot.sync_replicas(service),
         };
         let avoided = record.fruitless_candidate().map(|c| &**c);
-        let mut survey = CandidateSurvey::default();
         loop {
-            survey.merge(self.survey_candidates(service, from, deadline).await);
             let is_overdue = clock::now() >= deadline;
             if let Some(leader) = survey.leader(record, is_overdue) {
                 return Some(Successor::Leads(leader.clone()));
@@ -129,24 +128,88 @@
                 return None;
             }
             Timer::after(STEP_POLL_PERIOD / 2).await;
+            survey.merge(self.survey_candidates(service, from, deadline).await);
+        }
+    }
+
+    /// The old primary as its own successor, when no candidate answers: used as it is if it still leads, and promoted
+    /// otherwise. Where commits have to survive, only one that leads is sure to hold them.
+    pub(super) fn old_primary_as_successor(
+        &self,
+        service: &Arc<str>,
+        record: &PrimaryRecord,
+        from: &Arc<str>,
+        status: Option<ServerStatus>,
+    ) -> Option<Successor> {
+        let Some(status) = status else {
+            log::info!(service:% = service; "no server of the service answers");
+            return None;
+        };
+        let (accepts_new_work, sync_replicas) = {
+            let snapshot = &self.state.borrow().snapshot;
+            let listed = snapshot.servers.get(from);
+            (
+                listed.is_some_and(|s| snapshot.accepts_new_work(s)),
+                snapshot.sync_replicas(service),
+            )
+        };
+        let old_primary = CandidateStatus {
+            server: Arc::clone(from),
+            status,
+            accepts_new_work,
+            in_history: !record.history.excludes(status.received),
+        };
+        let may_be_promoted = old_primary.in_history && sync_replicas == 0;
+        log::info!(
+            service:% = service, server:% = from, claims_to_lead = status.primary, term:% = status.term,
+            accepts_new_work, may_be_promoted;
+            "only the old primary answers"
+        );
+        match (accepts_new_work, record.is_led_by(&status)) {
+            (true, true) => Some(Successor::Leads(old_primary)),
+            (true, false) if may_be_promoted => Some(Successor::Candidate(old_primary)),
+            _ => None,
         }
     }
 
-    /// Queries all failover candidates of a service at the same time. Those that have not answered at `deadline` are
-    /// unheard.
+    /// Queries all listed servers of a service, those that cannot succeed a primary included.
+    pub(super) async fn survey_all(&self, service: &Arc<str>) -> CandidateSurvey {
+        let servers = {
+            let snapshot = &self.state.borrow().snapshot;
+            let servers = snapshot.servers.values().filter(|s| s.service == *service);
+            servers
+                .map(|s| (Arc::clone(&s.id), snapshot.accepts_new_work(s)))
+                .collect()
+        };
+        self.query_servers(service, servers, clock::now() + COMMAND_TIMEOUT)
+            .await
+    }
+
+    /// Queries all failover candidates of a service. Those that have not answered at `deadline` are unheard.
     pub(super) async fn survey_candidates(
         &self,
         service: &Arc<str>,
         from: &Arc<str>,
         deadline: Time,
     ) -> CandidateSurvey {
-        let servers: Vec<_> = {
-            let state = self.state.borrow();
-            let snapshot = &state.snapshot;
+        let servers = {
+            let snapshot = &self.state.borrow().snapshot;
             candidates(service, from, snapshot)
                 .map(|s| (Arc::clone(&s.id), snapshot.accepts_new_work(s)))
                 .collect()
         };
+        let mut survey = self.query_servers(service, servers, deadline).await;
+        survey.unheard.extend(self.lapsed_servers(service, from));
+        survey
+    }
+
+    /// Queries servers at the same time, each given with whether it accepts new work.
+    async fn query_servers(
+        &self,
+        service: &Arc<str>,
+        servers: Vec<(Arc<str>, bool)>,
+        deadline: Time,
+    ) -> CandidateSurvey {
         let record = self.state.borrow().snapshot.primaries.get(service).cloned();
         let history = &record.map(|r| r.history).unwrap_or_default();
         let timeout = deadline.saturating_since(clock::now());
@@ -171,7 +234,6 @@
                 Err(server) => survey.unheard.push(server),
             }
         }
-        survey.unheard.extend(self.lapsed_servers(service, from));
         survey
     }
 
