Replace a recorded primary that says that it is a replica

Callers: every write of a service was refused as busy, without an end, though a server led it.

Cause: a primary was replaced only when it left or did not answer. One that a held-up order or demotion has made a replica answers, and its refusals count as answers of a healthy server. The role in the server list is not believed, since it lags. Ruled out: the instances' view leases and the release of connections; all instances agree on the record.

Change: a recorded primary that is listed as a replica for 1.5 s is asked, at most every 1.5 s, and replaced if it says so itself. The look at the servers then finds the one that leads. One that was demoted while no other server runs is its own successor.

A unit test has the times.

--- a/crates/gateway/src/control/failover.rs
+++ b/crates/gateway/src/control/failover.rs
@@ -1,6 +1,6 @@
 //! Failover policy: when a primary is replaced, and which backend servers may succeed it. Nothing here performs I/O.
 
-use crate::{BackendServer, ClusterSnapshot, PrimaryRecord};
+use crate::{BackendServer, ClusterSnapshot, PrimaryRecord, Role};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -10,6 +10,8 @@
 /// How long a server may be missing from the server list before it counts as gone. Entries of the list expire while the
 /// store is unavailable and come back after it returns.
 const UNLISTED_GRACE: Duration = Duration::from_millis(2_500);
+/// How long a primary may be listed as a replica before it is asked. The list lags behind a promotion.
+const REPLICA_GRACE: Duration = Duration::from_millis(1_500);
 /// Shortest age at which the last report of an instance no longer counts.
 const MIN_REPORT_LIFETIME: Duration = Duration::from_secs(1);
 /// The same in heartbeat periods, so that one lost heartbeat does not make an instance count as silent.
@@ -47,6 +49,8 @@
     Leaving,
     /// The primary is unreachable for enough instances, or has been missing from the server list for too long.
     Lost,
+    /// The primary answers that it is a replica, for example because another server was promoted by an order that was held up.
+    Deposed,
 }
 
 /// What an instance has experienced with backend servers since its last heartbeat.
@@ -65,6 +69,8 @@
     /// The last report of each instance, with the time at which it was received.
     reports: HashMap<InstanceId, (Time, ServerContacts)>,
     unlisted_since: HashMap<Arc<str>, Time>,
+    /// Since when primaries have been listed as replicas, or when they were last asked about it.
+    replica_since: HashMap<Arc<str>, Time>,
     /// Services of the servers in the last list, by id.
     listed: HashMap<Arc<str>, Arc<str>>,
     /// Service of each server that has disappeared from the list, with the time since when it has been missing.
@@ -89,17 +95,28 @@
         current.map(|(_, contacts)| contacts)
     }
 
-    /// Updates since when servers have been missing from the server list in `snapshot`.
+    /// Updates since when servers have been missing from the server list in `snapshot`, or listed as replicas.
     pub fn on_server_list(&mut self, snapshot: &ClusterSnapshot, now: Time) {
         self.update_lapsed(snapshot, now);
         let serving = snapshot.primaries.values().filter_map(PrimaryRecord::serving);
-        let unlisted: Vec<_> = serving
-            .filter(|id| !snapshot.servers.contains_key(*id))
-            .map(Arc::clone)
-            .collect();
-        self.unlisted_since.retain(|id, _| unlisted.contains(id));
-        for id in unlisted {
-            self.unlisted_since.entry(id).or_insert(now);
+        let (listed, unlisted): (Vec<_>, Vec<_>) = serving.partition(|id| snapshot.servers.contains_key(*id));
+        update_since(&mut self.unlisted_since, unlisted, now);
+        let replicas = listed
+            .into_iter()
+            .filter(|id| snapshot.servers[*id].role == Role::Replica);
+        update_since(&mut self.replica_since, replicas.collect(), now);
+    }
+
+    /// Whether a primary has been listed as a replica for so long that it has to be asked which one it is.
+    pub fn may_be_deposed(&self, primary: &str, now: Time) -> bool {
+        let since = self.replica_since.get(primary);
+        since.is_some_and(|since| now.saturating_since(*since) > REPLICA_GRACE)
+    }
+
+    /// Records that a primary was asked, so that it is asked again only after a while.
+    pub fn on_primary_asked(&mut self, primary: &str, now: Time) {
+        if let Some(since) = self.replica_since.get_mut(primary) {
+            *since = now;
         }
     }
 
@@ -159,6 +176,14 @@
     }
 }
 
+/// Keeps the times of `ids` only, and starts those that are new at `now`.
+fn update_since(since: &mut HashMap<Arc<str>, Time>, ids: Vec<&Arc<str>>, now: Time) {
+    since.retain(|id, _| ids.contains(&id));
+    for id in ids {
+        since.entry(Arc::clone(id)).or_insert(now);
+    }
+}
+
 fn is_gone(unlisted_since: Time, now: Time) -> bool {
     now.saturating_since(unlisted_since) > UNLISTED_GRACE
 }
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -4,7 +4,7 @@
 //! them.
 
 use super::control_loop::{ControlThread, OutboundMessage};
-use super::failover::failover_reason;
+use super::failover::{FailoverReason, failover_reason};
 use super::records;
 use super::server_commands::ServerCommand;
 use super::store_calls::StoreCallKind;
@@ -145,11 +145,17 @@
             let state = self.state.borrow();
             failover_reason(service, &state.snapshot, &state.reachability, now)
         };
+        let reason = match reason {
+            None if self.is_deposed(service, &primary).await => Some(FailoverReason::Deposed),
+            reason => reason,
+        };
         match reason {
             None => Ok(()),
             Some(reason) => {
-                if !self.has_successor(service, &primary, &reason).await {
-                    // Callers that still reach the primary would only lose it.
+                // Callers that still reach a primary would only lose it without a successor. One that no longer leads may
+                // be its own.
+                let needs_successor = reason != FailoverReason::Deposed;
+                if needs_successor && !self.has_successor(service, &primary, &reason).await {
                     return Ok(());
                 }
                 log::info!(service:% = service, primary:% = primary, reason:? = reason; "replacing primary");
@@ -167,6 +173,22 @@
         }
     }
 
+    /// Whether a primary that has been listed as a replica for a while says itself that it is one. The list alone proves
+    /// nothing, and a primary that is a replica refuses all writes without ever counting as unreachable.
+    async fn is_deposed(&self, service: &Arc<str>, primary: &Arc<str>) -> bool {
+        let may_be_deposed = {
+            let reachability = &self.state.borrow().reachability;
+            reachability.may_be_deposed(primary, clock::now())
+        };
+        if !may_be_deposed {
+            return false;
+        }
+        let status = self.send_command(service, primary, ServerCommand::Status).await;
+        let mut state = self.state.borrow_mut();
+        state.reachability.on_primary_asked(primary, clock::now());
+        status.is_some_and(|s| !s.primary)
+    }
+
     /// Waits until no instance uses the old primary, then gives the service another one.
     async fn advance_moving(
         &self,
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -1,6 +1,7 @@
 //! Failover policy: when a primary is replaced, and by which backend server.
 
 use std::sync::Arc;
+use std::time::Duration;
 use wasabiyard_gateway::control::{
     FailoverReason, ReachabilityReports, ServerContacts, failover_reason, heartbeat_period,
     only_passes_log_on,
@@ -73,6 +74,29 @@
     assert_eq!(failover_reason("members", &snapshot, &reports, NOW), None);
 }
 
+/// A primary that is a replica refuses writes without counting as lost. It is asked once it has been listed as a replica for
+/// longer than the list lags, and not over and over.
+#[test]
+fn a_primary_that_stays_listed_as_a_replica_is_asked() {
+    let mut snapshot = snapshot();
+    let mut reports = ReachabilityReports::default();
+    reports.on_server_list(&snapshot, NOW);
+    assert!(!reports.may_be_deposed("p", NOW + Duration::from_secs(9)));
+    snapshot.servers.insert("p".into(), server("p", Role::Replica));
+    reports.on_server_list(&snapshot, NOW);
+    reports.on_server_list(&snapshot, NOW + Duration::from_secs(1));
+    assert!(!reports.may_be_deposed("p", NOW + Duration::from_secs(1)));
+    let later = NOW + Duration::from_secs(2);
+    assert!(reports.may_be_deposed("p", later));
+    assert!(!reports.may_be_deposed("r1", later), "a replica");
+    reports.on_primary_asked("p", later);
+    assert!(!reports.may_be_deposed("p", later + Duration::from_secs(1)));
+    assert!(reports.may_be_deposed("p", later + Duration::from_secs(2)));
+    snapshot.servers.insert("p".into(), server("p", Role::Primary));
+    reports.on_server_list(&snapshot, later + Duration::from_secs(2));
+    assert!(!reports.may_be_deposed("p", later + Duration::from_secs(9)));
+}
+
 /// One instance whose own network link is broken must not cause a failover for all others.
 #[test]
 fn one_instance_does_not_replace_the_primary() {
