Pause between looks for a primary without holding the service

Cause: the pause after an order without effect, up to 3.2 s, passed inside the task that changes the service. The primary records of a restored store are not confirmed while such a task runs, which withholds the view lease from all services, and a holder that loses its lease in the pause would go on from an old record. A look that finds nobody returned at once, and was repeated every 0.1 s.

Change: the time of the next look is kept with the control state, and no task of the service runs before it. A look that finds no successor is followed by 0.2 s.

Ruled out: the same from the store, which is read as before.

--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -32,7 +32,7 @@
 {
     /// While this instance holds the failover lease, prunes the instance registry and checks the primary of each
     /// service once per period. Each service has its own task, so a slow failover does not delay the others; a service
-    /// whose task still runs is skipped.
+    /// whose task still runs, or whose next look is not due, is skipped.
     pub(super) async fn monitor_primaries(self: Rc<Self>, executor: Rc<LocalExecutor<'static>>) {
         loop {
             Timer::after(PRIMARY_CHECK_PERIOD).await;
@@ -45,12 +45,7 @@
             }
             self.prune_registry().await;
             for service in self.known_services() {
-                if !self
-                    .state
-                    .borrow_mut()
-                    .changing_services
-                    .insert(Arc::clone(&service))
-                {
+                if !self.state.borrow_mut().start_change(&service, clock::now()) {
                     continue;
                 }
                 let control = Rc::clone(&self);
--- a/crates/gateway/src/control/promotion.rs
+++ b/crates/gateway/src/control/promotion.rs
@@ -27,6 +27,8 @@
 /// Pause after the first order without effect; it doubles with each further one.
 const INITIAL_ORDER_PAUSE: Duration = Duration::from_millis(200);
 const MAX_ORDER_PAUSE: Duration = Duration::from_millis(3_200);
+/// Pause after a look that has found no successor. Servers that are down refuse queries at once.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
 /// Pause after the last of `orders` orders without effect.
 fn order_pause(orders: u32) -> Duration {
@@ -70,7 +72,10 @@
                 .await
         };
         match successor {
-            None => Ok(()),
+            None => {
+                self.pause_looks(service, LOOK_PAUSE);
+                Ok(())
+            }
             Some(Successor::Leads(leader)) => self.use_leader(service, &record, leader).await,
             Some(Successor::Candidate(chosen)) => {
                 let candidate = Arc::clone(&chosen.server);
@@ -138,7 +143,7 @@
                 return self.write_record(service, next).await;
             }
             PromotionResponse::Throttled => {
-                Timer::after(order_pause(record.orders)).await;
+                self.pause_looks(service, order_pause(record.orders));
                 return Ok(());
             }
             PromotionResponse::Accepted | PromotionResponse::Unknown => {}
@@ -178,10 +183,17 @@
                 return self.use_leader(service, record, leader.clone()).await;
             }
         }
-        Timer::after(order_pause(record.orders)).await;
+        self.pause_looks(service, order_pause(record.orders));
         Ok(())
     }
 
+    /// Lets the service rest before the next look. No task of it runs meanwhile, so the next one starts from the record that
+    /// is known by then.
+    fn pause_looks(&self, service: &Arc<str>, pause: Duration) {
+        let mut state = self.state.borrow_mut();
+        state.next_looks.insert(Arc::clone(service), clock::now() + pause);
+    }
+
     /// Waits until the candidate leads a term after that of `record`, and returns its status; `None` at `deadline`.
     async fn await_promotion(
         &self,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -26,6 +26,8 @@
     pub(super) reachability: ReachabilityReports,
     /// Services for which a task is taking a step, so that no second task starts.
     pub(super) changing_services: HashSet<Arc<str>>,
+    /// Services whose backend servers are not looked at again before a time, since the last look or order was in vain.
+    pub(super) next_looks: HashMap<Arc<str>, Time>,
     /// What this instance has read from the store and received from relays, and serves to followers.
     pub(super) view: ViewTable,
     /// Restores of the store.
@@ -54,6 +56,7 @@
             registry: InstanceRegistry::default(),
             reachability: ReachabilityReports::default(),
             changing_services: HashSet::new(),
+            next_looks: HashMap::new(),
             view: ViewTable::new(incarnation),
             generation: StoreGeneration::default(),
             held_lease_through_restore: false,
@@ -67,6 +70,12 @@
         }
     }
 
+    /// Marks a service as being changed by a task. Returns whether the task may start now.
+    pub(super) fn start_change(&mut self, service: &Arc<str>, now: Time) -> bool {
+        let is_due = self.next_looks.get(service).is_none_or(|at| now >= *at);
+        is_due && self.changing_services.insert(Arc::clone(service))
+    }
+
     /// Brings the state in line with a scope of the view that was current at `as_of`.
     pub(super) fn on_view_changed(&mut self, scope: ViewScope, as_of: Time, now: Time) {
         match scope {
