Let a candidate whose promotion is refused give way to another one

Callers: no write of a service was served while the promotion service refused the most advanced replica, though another one could lead.

Cause: a refused order led back to the choice, which chose the same candidate without a count or a pause: 153 orders in 12 s in the test. Ruled out: the look at the servers, which was new each time and found both replicas.

Change: a refused order counts like one without effect. A candidate that has just crashed is refused too, so the first refusal is followed by a look at once.

Test: a_candidate_that_cannot_be_promoted_gives_way fails on ('node0 serves no write after 12.2 s') and passes here (4 of 4 runs). In the third of the first three runs of the file another test, a_recorded_primary_that_was_demoted_alone_leads_again, stopped while its fleet started: an instance ended with 'cannot open the port for callers: Address already in use', on a port that had been found free just before. Who had it is not known.

--- a/crates/gateway/src/control/promotion.rs
+++ b/crates/gateway/src/control/promotion.rs
@@ -36,6 +36,16 @@
     MAX_ORDER_PAUSE.min(INITIAL_ORDER_PAUSE * (1 << doublings))
 }
 
+/// Pause after the last of `orders` orders, which was refused. A candidate that has just crashed is refused too, so the look
+/// after the first one, which finds another candidate, follows at once.
+fn refusal_pause(orders: u32) -> Duration {
+    if orders <= 1 {
+        Duration::ZERO
+    } else {
+        order_pause(orders - 1)
+    }
+}
+
 impl<P, D, M, C> ControlThread<P, D, M, C>
 where
     P: Platform + 'static,
@@ -79,9 +89,9 @@
             Some(Successor::Leads(leader)) => self.use_leader(service, &record, leader).await,
             Some(Successor::Candidate(chosen)) => {
                 let candidate = Arc::clone(&chosen.server);
-                let next = record.promoting(Arc::clone(&from), candidate, &chosen.status);
+                let next = record.promoting(from, candidate, &chosen.status);
                 self.write_record(service, next.clone()).await?;
-                self.order_promotion(service, &next, from, chosen.server).await
+                self.order_promotion(service, &next, chosen.server).await
             }
         }
     }
@@ -111,14 +121,12 @@
             .await
     }
 
-    /// Orders the promotion of the candidate, waits until it is the primary, and records it as serving. A candidate that
-    /// refuses sends the service back to choosing one; an order without effect leaves the record, so the next step looks
-    /// again.
+    /// Orders the promotion of the candidate, waits until it is the primary, and records it as serving. An order that is
+    /// refused or has no effect leaves the record, so the next step looks again.
     async fn order_promotion(
         &self,
         service: &Arc<str>,
         record: &PrimaryRecord,
-        from: Arc<str>,
         candidate: Arc<str>,
     ) -> Result<(), PlatformError> {
         let Some(fence) = self.held_fence() else {
@@ -138,12 +146,8 @@
             "promotion ordered"
         );
         match response {
-            PromotionResponse::Refused => {
-                let next = record.followed_by(Leadership::Moving { from });
-                return self.write_record(service, next).await;
-            }
-            PromotionResponse::Throttled => {
-                self.pause_looks(service, order_pause(record.orders));
+            PromotionResponse::Refused | PromotionResponse::Throttled => {
+                self.pause_looks(service, refusal_pause(record.orders));
                 return Ok(());
             }
             PromotionResponse::Accepted | PromotionResponse::Unknown => {}
