review: a stale holder of the failover duty sends its order after a freeze

The holder checks its lease before it connects to the platform. While the platform takes no connections, a freeze of 5 s lets a successor promote with a higher fence number; the frozen holder then sends its order all the same.

--- /dev/null
+++ b/review/stand-ins-3/node.rs
@@ -0,0 +1,126 @@
+//! Processes of `wasabiyard-node`, started as the deploy file says, with the settings that its template gives.
+
+use crate::record::Record;
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// The program of the deploy file, from the root of the repository.
+const PROGRAM: &str = "target/release/wasabiyard-node";
+
+pub const STOP: i32 = 19;
+pub const CONTINUE: i32 = 18;
+pub const TERMINATE: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub name: String,
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    process: Option<Child>,
+}
+
+impl Node {
+    pub fn open(
+        name: &str,
+        zone: &str,
+        zones: &[&str],
+        store: SocketAddr,
+        platform: SocketAddr,
+        dir: &Path,
+    ) -> std::io::Result<Self> {
+        let ports: Vec<TcpListener> =
+            (0..4).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
+        let addresses: Vec<SocketAddr> =
+            ports.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
+        drop(ports);
+        let regions: String = zones.iter().map(|z| format!("{z} = r\n")).collect();
+        let text = format!(
+            "[instance]\nid = {name}\nfailure_domain = {zone}\n[listen]\ncallers = {}\nreadiness = {}\npeers = {}\n\
+             metrics = {}\n[store]\naddress = {store}\n[promotion]\naddress = {platform}\n[limits]\n\
+             revocation_ms = 5000\ngrace_ms = 6000\nrate_tolerance = 20\n[usage]\nduties = failover\n\
+             [regions]\n{regions}[resources]\nmemory_mb = 260\nmax_descriptors = 4300\n",
+            addresses[0], addresses[1], addresses[2], addresses[3],
+        );
+        let settings = dir.join(format!("{name}.ini"));
+        fs::write(&settings, text)?;
+        let mut node = Self {
+            name: name.to_owned(),
+            callers: addresses[0],
+            readiness: addresses[1],
+            settings,
+            log: dir.join(format!("{name}.log")),
+            process: None,
+        };
+        node.start()?;
+        Ok(node)
+    }
+
+    pub fn start(&mut self) -> std::io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let process = Command::new(PROGRAM)
+            .env("WASABIYARD_CONFIG", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.process = Some(process);
+        Ok(())
+    }
+
+    pub fn signal(&self, signal: i32, record: &Record) {
+        let Some(process) = &self.process else { return };
+        let name = match signal {
+            STOP => "frozen",
+            CONTINUE => "runs again",
+            _ => "gets SIGTERM",
+        };
+        record.line(&format!("{}: {name}", self.name));
+        // SAFETY: a signal to a process that this one has started and not yet waited for.
+        unsafe { kill(process.id() as i32, signal) };
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let ask = || -> std::io::Result<String> {
+            let mut stream = TcpStream::connect_timeout(&self.readiness, Duration::from_millis(200))?;
+            stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+            stream.write_all(b"GET /wasabiyard/readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")?;
+            let mut text = String::new();
+            stream.read_to_string(&mut text)?;
+            Ok(text)
+        };
+        ask().is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+    }
+
+    /// Whether the process has ended by itself, and how.
+    pub fn ended(&mut self) -> Option<String> {
+        let status = self.process.as_mut()?.try_wait().ok()??;
+        Some(status.to_string())
+    }
+
+    /// The lines of the log that hold one of the texts.
+    pub fn log_lines(&self, texts: &[&str]) -> Vec<String> {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines = log.lines().filter(|line| texts.iter().any(|text| line.contains(text)));
+        lines.map(str::to_owned).collect()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(process) = &mut self.process {
+            // It may have ended already.
+            let _ended = process.kill();
+            let _status = process.wait();
+        }
+    }
+}
--- /dev/null
+++ b/review/stand-ins-3/store.rs
@@ -0,0 +1,171 @@
+//! Stand-in of the platform's metadata store, without its rates and its history.
+
+use crate::http::{self, Call, Reply};
+use crate::json::Json;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+/// A change of an object, `Null` for its end.
+#[derive(Debug, Clone)]
+pub struct Change {
+    pub at: Instant,
+    pub kind: String,
+    pub name: String,
+    pub spec: Json,
+}
+
+#[derive(Debug, Default)]
+struct Objects {
+    revision: u64,
+    by_key: BTreeMap<(String, String), (u64, Json)>,
+    changes: Vec<Change>,
+}
+
+/// Handle to the store; clones share their content.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    objects: Arc<Mutex<Objects>>,
+}
+
+impl Store {
+    /// Serves the store on a loopback port.
+    pub fn listen(&self) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let store = self.clone();
+        http::serve(listener, move |call| store.handle(call));
+        Ok(address)
+    }
+
+    /// Writes an object without a condition, as the operator and the databases do.
+    pub fn write(&self, kind: &str, name: &str, spec: Json) {
+        self.lock().set(kind, name, Some(spec));
+    }
+
+    /// Removes an object, without a condition.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut objects = self.lock();
+        if objects.by_key.contains_key(&(kind.to_owned(), name.to_owned())) {
+            objects.set(kind, name, None);
+        }
+    }
+
+    /// The `spec` of an object; `Null` if there is none.
+    pub fn read(&self, kind: &str, name: &str) -> Json {
+        let objects = self.lock();
+        let object = objects.by_key.get(&(kind.to_owned(), name.to_owned()));
+        object.map_or(Json::Null, |(_, spec)| spec.clone())
+    }
+
+    /// The changes of a kind so far, oldest first.
+    pub fn changes(&self, kind: &str) -> Vec<Change> {
+        self.lock().changes.iter().filter(|c| c.kind == kind).cloned().collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Objects> {
+        self.objects.lock().expect("no panic under this lock")
+    }
+
+    fn handle(&self, call: &Call) -> Reply {
+        let Some(rest) = call.path.strip_prefix("/wasabiyard/objects/") else {
+            return Reply::Answer(404, Json::Null);
+        };
+        let mut objects = self.lock();
+        match (call.method.as_str(), rest.split_once('/')) {
+            ("GET", None) => objects.list(rest),
+            ("GET", Some((kind, name))) => objects.get(kind, name),
+            ("POST", None) => {
+                let name = call.body.get("meta").get("name").as_text().to_owned();
+                objects.write_if(rest, &name, Some(0), Some(call.body.get("spec").clone()))
+            }
+            ("PUT", Some((kind, name))) => {
+                let revision = call.body.get("meta").get("revision").as_number();
+                objects.write_if(kind, name, revision, Some(call.body.get("spec").clone()))
+            }
+            ("DELETE", Some((kind, name))) => {
+                let revision = call.query.strip_prefix("revision=").and_then(|r| r.parse().ok());
+                objects.write_if(kind, name, revision, None)
+            }
+            _ => Reply::Answer(404, Json::Null),
+        }
+    }
+}
+
+impl Objects {
+    fn set(&mut self, kind: &str, name: &str, spec: Option<Json>) {
+        let key = (kind.to_owned(), name.to_owned());
+        if spec.is_some() && self.by_key.get(&key).map(|(_, known)| known) == spec.as_ref() {
+            // A write that changes nothing does not increase the revision.
+            return;
+        }
+        self.revision += 1;
+        self.changes.push(Change {
+            at: Instant::now(),
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            spec: spec.clone().unwrap_or(Json::Null),
+        });
+        match spec {
+            Some(spec) => drop(self.by_key.insert(key, (self.revision, spec))),
+            None => drop(self.by_key.remove(&key)),
+        }
+    }
+
+    fn list(&self, kind: &str) -> Reply {
+        let items = self.by_key.iter().filter(|((k, _), _)| k == kind);
+        let items = items.map(|((_, name), (revision, spec))| document(name, *revision, spec));
+        Reply::Answer(
+            200,
+            Json::object([
+                ("items", Json::List(items.collect())),
+                ("has_more", Json::Bool(false)),
+                ("at_revision", Json::number(self.revision)),
+            ]),
+        )
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Reply {
+        match self.by_key.get(&(kind.to_owned(), name.to_owned())) {
+            Some((revision, spec)) => Reply::Answer(200, document(name, *revision, spec)),
+            None => Reply::Answer(404, Json::Null),
+        }
+    }
+
+    /// Writes an object, or removes it without a `spec`, if its revision is the expected one; 0 means that it must not exist.
+    fn write_if(&mut self, kind: &str, name: &str, expected: Option<u64>, spec: Option<Json>) -> Reply {
+        let key = (kind.to_owned(), name.to_owned());
+        let current = self.by_key.get(&key).map_or(0, |(revision, _)| *revision);
+        if expected.is_some_and(|e| e != current) {
+            return match self.get(kind, name) {
+                Reply::Answer(200, object) => Reply::Answer(409, object),
+                missing => missing,
+            };
+        }
+        let removes = spec.is_none();
+        self.set(kind, name, spec);
+        if removes {
+            Reply::Answer(200, Json::Null)
+        } else {
+            self.get(kind, name)
+        }
+    }
+}
+
+fn document(name: &str, revision: u64, spec: &Json) -> Json {
+    Json::object([
+        (
+            "meta",
+            Json::object([
+                ("name", Json::text(name)),
+                ("revision", Json::number(revision)),
+                ("created", Json::number(1)),
+                ("finalizers", Json::List(Vec::new())),
+                ("deletion_pending", Json::Bool(false)),
+            ]),
+        ),
+        ("spec", spec.clone()),
+        ("status", Json::Null),
+    ])
+}
