review: a flood of statements keeps the traffic thread of an instance from all others

Four peers that send local statements without a wait and read the answers are enough: other callers and readiness probes get no answer, and SIGTERM has no effect within the grace period. The session task never waits while the socket is full, and so never returns to the executor.

--- a/review/stand-ins-3/caller.rs
+++ b/review/stand-ins-3/caller.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// The connection, for a peer that keeps to no turns.
+    pub fn into_stream(self) -> TcpStream {
+        self.writer
+    }
+
     /// Runs a statement. Returns its rows, its result and the last line.
     pub fn run(&mut self, id: &str, text: &str) -> std::io::Result<(Vec<String>, String, String)> {
         self.writer.write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod database;
 mod fleet;
+mod flood;
 mod http;
 mod json;
 mod node;
@@ -44,6 +45,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let result = std::fs::create_dir_all(&dir).and_then(|()| match name.as_str() {
+        "flood" => flood::run(&run),
         "stale-order" => stale_order::run(&run),
         _ => Err(std::io::Error::other("no such case")),
     });
