review: two requesters' prepared statements get one name on a database connection

Names on the connection are 64-bit hashes of the texts. Two short texts with equal hashes are found in seconds, and executions of one then run the other.

--- a/review/stand-ins-3/database.rs
+++ b/review/stand-ins-3/database.rs
@@ -37,6 +37,18 @@
     pub data: String,
 }
 
+/// The execution of a prepared statement.
+#[derive(Debug, Clone)]
+pub struct Execution {
+    /// Id of the requester's statement.
+    pub id: String,
+    pub server: String,
+    /// Name under which the statement was prepared on the connection.
+    pub name: String,
+    /// What was run.
+    pub shape: String,
+}
+
 #[derive(Debug, Clone)]
 pub struct Server {
     pub id: String,
@@ -66,6 +78,7 @@
     /// Term and time of each promotion that took effect.
     promotions: Vec<(u64, Instant)>,
     commits: Vec<Commit>,
+    executions: Vec<Execution>,
     sequence: u64,
 }
 
@@ -141,6 +154,10 @@
         self.lock().commits.clone()
     }
 
+    pub fn executions(&self) -> Vec<Execution> {
+        self.lock().executions.clone()
+    }
+
     /// Lets a server announce that it leaves.
     pub fn drain(&self, id: &str) {
         for server in self.lock().servers.iter_mut().filter(|s| s.id == id) {
@@ -275,8 +292,8 @@
             let Some(rest) = line.strip_prefix("QUERY ") else {
                 return Ok(());
             };
-            let (_id, text) = rest.split_once(' ').unwrap_or((rest, ""));
-            let answer = self.run(text);
+            let (query, text) = rest.split_once(' ').unwrap_or((rest, ""));
+            let answer = self.run(query, text);
             let status = match (&self.transaction, self.failed) {
                 (None, _) => 'I',
                 (Some(_), false) => 'T',
@@ -302,7 +319,7 @@
         self.service.lock().servers[self.index].position()
     }
 
-    fn run(&mut self, text: &str) -> Answer {
+    fn run(&mut self, query: &str, text: &str) -> Answer {
         let mut text = text;
         if let Some(rest) = text.strip_prefix("AFTERLSN ") {
             let (point, statement) = rest.split_once(' ').unwrap_or((rest, ""));
@@ -366,13 +383,23 @@
                 let mut words = rest.splitn(3, ' ');
                 let name = words.next().unwrap_or_default();
                 let item = words.next().unwrap_or_default();
-                match self.prepared.get(name) {
-                    None => Err("NOSTMT".to_owned()),
-                    Some((false, _)) => self.read(item),
-                    Some((true, _)) => {
-                        let data = words.next().unwrap_or_default().to_owned();
-                        self.write(item, &data)
-                    }
+                let Some((writes, shape)) = self.prepared.get(name).cloned() else {
+                    return Err("NOSTMT".to_owned());
+                };
+                {
+                    let mut state = self.service.lock();
+                    let server = state.servers[self.index].id.clone();
+                    state.executions.push(Execution {
+                        id: query.to_owned(),
+                        server,
+                        name: name.to_owned(),
+                        shape,
+                    });
+                }
+                if writes {
+                    self.write(item, words.next().unwrap_or_default())
+                } else {
+                    self.read(item)
                 }
             }
             _ => Err("MALFORMED".to_owned()),
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -9,6 +9,7 @@
 mod node;
 mod platform;
 mod record;
+mod shared_name;
 mod stale_order;
 mod store;
 
@@ -46,6 +47,7 @@
     };
     let result = std::fs::create_dir_all(&dir).and_then(|()| match name.as_str() {
         "flood" => flood::run(&run),
+        "shared-name" => shared_name::run(&run),
         "stale-order" => stale_order::run(&run),
         _ => Err(std::io::Error::other("no such case")),
     });
