--- a/review/stand-ins-3/caller.rs
+++ b/review/stand-ins-3/caller.rs
@@ -17,7 +17,6 @@
 /// A statement and its answer.
 #[derive(Debug, Clone)]
 pub struct Answered {
-    pub sent: Instant,
     pub answered: Instant,
     /// Number of the instance.
     pub node: usize,
@@ -48,7 +47,9 @@
             reader: BufReader::new(writer.try_clone()?),
             writer,
         };
-        session.writer.write_all(format!("STARTUP {database} {KEY}\r\n").as_bytes())?;
+        session
+            .writer
+            .write_all(format!("STARTUP {database} {KEY}\r\n").as_bytes())?;
         let line = read_line(&mut session.reader)?.unwrap_or_default();
         if line.starts_with("READY") {
             Ok(session)
@@ -64,7 +65,8 @@
 
     /// Runs a statement. Returns its rows, its result and the last line.
     pub fn run(&mut self, id: &str, text: &str) -> std::io::Result<(Vec<String>, String, String)> {
-        self.writer.write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
+        self.writer
+            .write_all(format!("QUERY {id} {text}\r\n").as_bytes())?;
         let (mut rows, mut result) = (Vec::new(), String::new());
         loop {
             let line = read_line(&mut self.reader)?.ok_or_else(|| std::io::Error::other("closed"))?;
@@ -107,13 +109,11 @@
                             number += 1;
                             let item = format!("item-{node}-{caller}");
                             let data = format!("{number}");
-                            let sent = Instant::now();
                             let id = format!("{node:04x}{caller:04x}{number:08x}");
                             let Ok((_, result, _)) = session.run(&id, &format!("WRITE {item} {data}")) else {
                                 break;
                             };
                             answered.lock().expect("no panic under this lock").push(Answered {
-                                sent,
                                 answered: Instant::now(),
                                 node,
                                 item,
--- a/review/stand-ins-3/database.rs
+++ b/review/stand-ins-3/database.rs
@@ -226,12 +226,22 @@
         let mut changed = false;
         {
             let mut state = self.lock();
-            let Some(leader) = state.servers.iter().filter(|s| s.primary).max_by_key(|s| s.term).cloned() else {
+            let Some(leader) = state
+                .servers
+                .iter()
+                .filter(|s| s.primary)
+                .max_by_key(|s| s.term)
+                .cloned()
+            else {
                 return;
             };
             let promoted_at = state.promotions.iter().find(|(term, _)| *term == leader.term);
             let steps_down = promoted_at.is_none_or(|(_, at)| at.elapsed() > STEP_DOWN_DELAY);
-            for server in state.servers.iter_mut().filter(|s| s.id != leader.id && s.term <= leader.term) {
+            for server in state
+                .servers
+                .iter_mut()
+                .filter(|s| s.id != leader.id && s.term <= leader.term)
+            {
                 if server.primary && !steps_down {
                     continue;
                 }
@@ -357,7 +367,8 @@
                 let mut words = rest.splitn(3, ' ');
                 let name = words.next().unwrap_or_default().to_owned();
                 let writes = words.next() == Some("WRITE");
-                self.prepared.insert(name, (writes, words.next().unwrap_or_default().to_owned()));
+                self.prepared
+                    .insert(name, (writes, words.next().unwrap_or_default().to_owned()));
                 done()
             }
             "BEGIN" => {
--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -41,7 +41,14 @@
         for i in 0..nodes {
             let zone = ZONES[i % ZONES.len()];
             let name = format!("frontend-{zone}-{}", i / ZONES.len() + 1);
-            started.push(Node::open(&name, zone, &ZONES, store_address, platform.address, run.dir)?);
+            started.push(Node::open(
+                &name,
+                zone,
+                &ZONES,
+                store_address,
+                platform.address,
+                run.dir,
+            )?);
         }
         let fleet = Self {
             record,
@@ -70,14 +77,21 @@
     /// The primary that the instances use.
     pub fn primary(&self) -> Option<String> {
         let record = self.store.read("wasabiyard", &format!("primary-{SERVICE}"));
-        let primary = record.get("leadership").get("serving").get("primary").as_text().to_owned();
+        let primary = record
+            .get("leadership")
+            .get("serving")
+            .get("primary")
+            .as_text()
+            .to_owned();
         (!primary.is_empty()).then_some(primary)
     }
 
     /// Number of the instance that holds the duty.
     pub fn holder(&self) -> Option<usize> {
         let duty = self.store.read("wasabiyard", "duty");
-        self.nodes.iter().position(|n| n.name == duty.get("holder").as_text())
+        self.nodes
+            .iter()
+            .position(|n| n.name == duty.get("holder").as_text())
     }
 }
 
--- a/review/stand-ins-3/flood.rs
+++ b/review/stand-ins-3/flood.rs
@@ -32,14 +32,20 @@
     thread::sleep(Duration::from_secs(2));
     let started = Instant::now();
     let flood = Flood::start(fleet.nodes[0].callers, run.trouble)?;
-    fleet.record.line(&format!("{}: {PEERS} peers begin, flood: {}", fleet.nodes[0].name, run.trouble));
+    fleet.record.line(&format!(
+        "{}: {PEERS} peers begin, flood: {}",
+        fleet.nodes[0].name, run.trouble
+    ));
     let mut probes = Vec::new();
     let mut stopped = false;
     while started.elapsed() < FLOOD_TIME && fleet.nodes[0].ended().is_none() {
         let asked = Instant::now();
         if !stopped {
             let ready = fleet.nodes[0].is_ready();
-            fleet.record.line(&format!("{}: probe of its readiness, 200: {ready}", fleet.nodes[0].name));
+            fleet.record.line(&format!(
+                "{}: probe of its readiness, 200: {ready}",
+                fleet.nodes[0].name
+            ));
             probes.push(ready);
         }
         if !stopped && started.elapsed() >= SIGTERM_AFTER {
@@ -69,10 +75,16 @@
         ));
     }
     let unanswered = probes.iter().filter(|ready| !**ready).count();
-    record.line(&format!("{unanswered} of {} probes were not answered", probes.len()));
+    record.line(&format!(
+        "{unanswered} of {} probes were not answered",
+        probes.len()
+    ));
     let is_hung = longest_gap(&answered, 0, started, until) >= HANG;
     let overstays = ended.is_none() && ended_after >= SIGTERM_AFTER + GRACE;
-    record.line(&format!("{}: ended within grace_s after SIGTERM: {}", fleet.nodes[0].name, !overstays));
+    record.line(&format!(
+        "{}: ended within grace_s after SIGTERM: {}",
+        fleet.nodes[0].name, !overstays
+    ));
     if is_hung {
         record.line("Fault: the program does not hand back the processor; it answers nobody but the peers");
     }
@@ -81,7 +93,11 @@
 
 /// The longest span without an answer from an instance.
 fn longest_gap(answered: &[Answered], node: usize, from: Instant, to: Instant) -> Duration {
-    let mut times: Vec<_> = answered.iter().filter(|a| a.node == node).map(|a| a.answered).collect();
+    let mut times: Vec<_> = answered
+        .iter()
+        .filter(|a| a.node == node)
+        .map(|a| a.answered)
+        .collect();
     times.retain(|at| *at > from && *at < to);
     times.push(to);
     times.sort();
--- a/review/stand-ins-3/http.rs
+++ b/review/stand-ins-3/http.rs
@@ -6,7 +6,6 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
 
 /// A request that was read whole.
 #[derive(Debug)]
@@ -19,11 +18,17 @@
     pub body: Json,
 }
 
-/// What a server does with a call.
-pub enum Reply {
-    Answer(u16, Json),
-    /// The connection stays open, and returns nothing further.
-    Silence,
+/// The answer to a call.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Json,
+}
+
+impl Reply {
+    pub const fn new(status: u16, body: Json) -> Self {
+        Self { status, body }
+    }
 }
 
 /// Serves a connection until it ends.
@@ -35,19 +40,13 @@
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(call) = read_call(&mut reader)? {
-        match handle(&call) {
-            Reply::Answer(status, body) => {
-                let body = body.to_string();
-                let head = format!(
-                    "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
-                    body.len()
-                );
-                writer.write_all((head + &body).as_bytes())?;
-            }
-            Reply::Silence => loop {
-                thread::sleep(Duration::from_secs(1));
-            },
-        }
+        let Reply { status, body } = handle(&call);
+        let body = body.to_string();
+        let head = format!(
+            "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        writer.write_all((head + &body).as_bytes())?;
     }
     Ok(())
 }
@@ -76,7 +75,10 @@
             headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
         }
     }
-    let len = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let len = headers
+        .get("content-length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; len];
     reader.read_exact(&mut body)?;
     let body = Json::parse(&String::from_utf8_lossy(&body)).unwrap_or(Json::Null);
--- a/review/stand-ins-3/json.rs
+++ b/review/stand-ins-3/json.rs
@@ -29,7 +29,10 @@
     /// The field of an object; `Null` if there is none.
     pub fn get(&self, key: &str) -> &Json {
         match self {
-            Self::Object(fields) => fields.iter().find(|(k, _)| k == key).map_or(&Json::Null, |(_, v)| v),
+            Self::Object(fields) => fields
+                .iter()
+                .find(|(k, _)| k == key)
+                .map_or(&Json::Null, |(_, v)| v),
             _ => &Json::Null,
         }
     }
--- a/review/stand-ins-3/node.rs
+++ b/review/stand-ins-3/node.rs
@@ -38,10 +38,13 @@
         platform: SocketAddr,
         dir: &Path,
     ) -> std::io::Result<Self> {
-        let ports: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-        let addresses: Vec<SocketAddr> =
-            ports.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
+        let ports: Vec<TcpListener> = (0..4)
+            .map(|_| TcpListener::bind("127.0.0.1:0"))
+            .collect::<Result<_, _>>()?;
+        let addresses: Vec<SocketAddr> = ports
+            .iter()
+            .map(TcpListener::local_addr)
+            .collect::<Result<_, _>>()?;
         drop(ports);
         let regions: String = zones.iter().map(|z| format!("{z} = r\n")).collect();
         let text = format!(
@@ -110,7 +113,9 @@
     /// The lines of the log that hold one of the texts.
     pub fn log_lines(&self, texts: &[&str]) -> Vec<String> {
         let log = fs::read_to_string(&self.log).unwrap_or_default();
-        let lines = log.lines().filter(|line| texts.iter().any(|text| line.contains(text)));
+        let lines = log
+            .lines()
+            .filter(|line| texts.iter().any(|text| line.contains(text)));
         lines.map(str::to_owned).collect()
     }
 }
--- a/review/stand-ins-3/platform.rs
+++ b/review/stand-ins-3/platform.rs
@@ -64,7 +64,9 @@
                     thread::spawn(move || {
                         let handle = |call: &Call| platform.handle(call);
                         let blocking = stream.set_nonblocking(false);
-                        blocking.and_then(|()| http::serve_connection(stream, &handle)).is_ok()
+                        blocking
+                            .and_then(|()| http::serve_connection(stream, &handle))
+                            .is_ok()
                     });
                 }
             }
@@ -104,7 +106,7 @@
 
     fn handle(&self, call: &Call) -> Reply {
         if call.path != "/promote" {
-            return Reply::Answer(404, Json::Null);
+            return Reply::new(404, Json::Null);
         }
         let header = |name: &str| call.headers.get(name).cloned().unwrap_or_default();
         let order = Order {
@@ -113,7 +115,10 @@
             fence: header("x-fencing-token").parse().unwrap_or(0),
             server: call.body.get("id").as_text().to_owned(),
         };
-        let service = self.services.iter().find(|s| s.name == call.body.get("service").as_text());
+        let service = self
+            .services
+            .iter()
+            .find(|s| s.name == call.body.get("service").as_text());
         let accepted = service.is_some_and(|s| s.promote(&order.server));
         self.record.line(&format!(
             "platform: promote {} by {} with fence {}, answered {}",
@@ -123,6 +128,6 @@
             if accepted { 200 } else { 409 }
         ));
         self.orders.lock().expect("no panic under this lock").push(order);
-        Reply::Answer(if accepted { 200 } else { 409 }, Json::Null)
+        Reply::new(if accepted { 200 } else { 409 }, Json::Null)
     }
 }
--- a/review/stand-ins-3/record.rs
+++ b/review/stand-ins-3/record.rs
@@ -28,6 +28,7 @@
     pub fn line(&self, text: &str) {
         let line = format!("{:8.3} {text}\n", self.started.elapsed().as_secs_f64());
         let mut file = self.file.lock().expect("no panic under this lock");
-        file.write_all(line.as_bytes()).expect("the record can be written");
+        file.write_all(line.as_bytes())
+            .expect("the record can be written");
     }
 }
--- a/review/stand-ins-3/shared_name.rs
+++ b/review/stand-ins-3/shared_name.rs
@@ -14,7 +14,11 @@
 pub fn run(run: &Run<'_>) -> std::io::Result<Verdict> {
     let fleet = Fleet::open(run, 1)?;
     let record = &fleet.record;
-    let other_shape = if run.trouble { SHAPE_WITH_EQUAL_HASH } else { SHAPE_WITH_OTHER_HASH };
+    let other_shape = if run.trouble {
+        SHAPE_WITH_EQUAL_HASH
+    } else {
+        SHAPE_WITH_OTHER_HASH
+    };
     let address = fleet.nodes[0].callers;
     let mut requesters = [
         ("first", SHAPE, Session::open(address, DATABASE)?),
@@ -46,6 +50,9 @@
             ));
         }
     }
-    record.line(&format!("{} executions, {acknowledged} acknowledged, {wrong} with another shape", expected.len()));
+    record.line(&format!(
+        "{} executions, {acknowledged} acknowledged, {wrong} with another shape",
+        expected.len()
+    ));
     Ok(if wrong > 0 { Verdict::Broken } else { Verdict::Held })
 }
--- a/review/stand-ins-3/stale_order.rs
+++ b/review/stand-ins-3/stale_order.rs
@@ -27,9 +27,16 @@
     let record = &fleet.record;
     let writers = Writers::start(&fleet.addresses(), 2, DATABASE);
     thread::sleep(Duration::from_secs(2));
-    let holder = fleet.holder().ok_or_else(|| std::io::Error::other("nobody holds the duty"))?;
-    let primary = fleet.primary().ok_or_else(|| std::io::Error::other("no primary"))?;
-    record.line(&format!("{} holds the duty; the primary is {primary}", fleet.nodes[holder].name));
+    let holder = fleet
+        .holder()
+        .ok_or_else(|| std::io::Error::other("nobody holds the duty"))?;
+    let primary = fleet
+        .primary()
+        .ok_or_else(|| std::io::Error::other("no primary"))?;
+    record.line(&format!(
+        "{} holds the duty; the primary is {primary}",
+        fleet.nodes[holder].name
+    ));
     if run.trouble {
         fleet.platform.close();
     }
@@ -44,7 +51,8 @@
             record.line(&format!("log of {}: {line}", node.name));
         }
     }
-    let is_frozen = |node: usize, at: Instant| run.trouble && node == holder && at >= frozen_at && at <= thawed_at + THAW;
+    let is_frozen =
+        |node: usize, at: Instant| run.trouble && node == holder && at >= frozen_at && at <= thawed_at + THAW;
     let is_broken = check_fences(&fleet) | check_writes(&fleet, &writers, is_frozen);
     Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
@@ -54,7 +62,12 @@
     let begun = Instant::now();
     loop {
         let leadership = fleet.store.read("wasabiyard", &format!("primary-{SERVICE}"));
-        let chosen = leadership.get("leadership").get("promoting").get("candidate").as_text().to_owned();
+        let chosen = leadership
+            .get("leadership")
+            .get("promoting")
+            .get("candidate")
+            .as_text()
+            .to_owned();
         if !chosen.is_empty() {
             fleet.record.line(&format!("the holder has chosen {chosen}"));
             return Ok(Instant::now());
@@ -119,19 +132,31 @@
     let promotions = fleet.service.promotions();
     for (term, at) in &promotions {
         let seconds = fleet.record.seconds(*at);
-        fleet.record.line(&format!("promotion to term {term} took effect at {seconds:.3}"));
+        fleet
+            .record
+            .line(&format!("promotion to term {term} took effect at {seconds:.3}"));
     }
     let answered = writers.answered();
-    let leader = fleet.service.servers().into_iter().filter(|s| s.primary).max_by_key(|s| s.term);
+    let leader = fleet
+        .service
+        .servers()
+        .into_iter()
+        .filter(|s| s.primary)
+        .max_by_key(|s| s.term);
     let log = leader.map(|s| s.log).unwrap_or_default();
     let (mut acknowledged, mut late, mut lost) = (0, 0, 0);
     let commits = fleet.service.commits();
     for write in answered.iter().filter(|a| a.is_success()) {
         acknowledged += 1;
-        let Some(commit) = commits.iter().find(|c| c.item == write.item && c.data == write.data) else {
+        let Some(commit) = commits
+            .iter()
+            .find(|c| c.item == write.item && c.data == write.data)
+        else {
             continue;
         };
-        let superseded = promotions.iter().any(|(term, at)| *term > commit.term && *at < commit.at);
+        let superseded = promotions
+            .iter()
+            .any(|(term, at)| *term > commit.term && *at < commit.at);
         if superseded && !is_frozen(write.node, commit.at) {
             late += 1;
             if late <= 5 {
--- a/review/stand-ins-3/store.rs
+++ b/review/stand-ins-3/store.rs
@@ -5,22 +5,11 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
-
-/// A change of an object, `Null` for its end.
-#[derive(Debug, Clone)]
-pub struct Change {
-    pub at: Instant,
-    pub kind: String,
-    pub name: String,
-    pub spec: Json,
-}
 
 #[derive(Debug, Default)]
 struct Objects {
     revision: u64,
     by_key: BTreeMap<(String, String), (u64, Json)>,
-    changes: Vec<Change>,
 }
 
 /// Handle to the store; clones share their content.
@@ -44,14 +33,6 @@
         self.lock().set(kind, name, Some(spec));
     }
 
-    /// Removes an object, without a condition.
-    pub fn remove(&self, kind: &str, name: &str) {
-        let mut objects = self.lock();
-        if objects.by_key.contains_key(&(kind.to_owned(), name.to_owned())) {
-            objects.set(kind, name, None);
-        }
-    }
-
     /// The `spec` of an object; `Null` if there is none.
     pub fn read(&self, kind: &str, name: &str) -> Json {
         let objects = self.lock();
@@ -59,18 +40,13 @@
         object.map_or(Json::Null, |(_, spec)| spec.clone())
     }
 
-    /// The changes of a kind so far, oldest first.
-    pub fn changes(&self, kind: &str) -> Vec<Change> {
-        self.lock().changes.iter().filter(|c| c.kind == kind).cloned().collect()
-    }
-
     fn lock(&self) -> std::sync::MutexGuard<'_, Objects> {
         self.objects.lock().expect("no panic under this lock")
     }
 
     fn handle(&self, call: &Call) -> Reply {
         let Some(rest) = call.path.strip_prefix("/wasabiyard/objects/") else {
-            return Reply::Answer(404, Json::Null);
+            return Reply::new(404, Json::Null);
         };
         let mut objects = self.lock();
         match (call.method.as_str(), rest.split_once('/')) {
@@ -88,7 +64,7 @@
                 let revision = call.query.strip_prefix("revision=").and_then(|r| r.parse().ok());
                 objects.write_if(kind, name, revision, None)
             }
-            _ => Reply::Answer(404, Json::Null),
+            _ => Reply::new(404, Json::Null),
         }
     }
 }
@@ -101,12 +77,6 @@
             return;
         }
         self.revision += 1;
-        self.changes.push(Change {
-            at: Instant::now(),
-            kind: kind.to_owned(),
-            name: name.to_owned(),
-            spec: spec.clone().unwrap_or(Json::Null),
-        });
         match spec {
             Some(spec) => drop(self.by_key.insert(key, (self.revision, spec))),
             None => drop(self.by_key.remove(&key)),
@@ -116,7 +86,7 @@
     fn list(&self, kind: &str) -> Reply {
         let items = self.by_key.iter().filter(|((k, _), _)| k == kind);
         let items = items.map(|((_, name), (revision, spec))| document(name, *revision, spec));
-        Reply::Answer(
+        Reply::new(
             200,
             Json::object([
                 ("items", Json::List(items.collect())),
@@ -128,8 +98,8 @@
 
     fn get(&self, kind: &str, name: &str) -> Reply {
         match self.by_key.get(&(kind.to_owned(), name.to_owned())) {
-            Some((revision, spec)) => Reply::Answer(200, document(name, *revision, spec)),
-            None => Reply::Answer(404, Json::Null),
+            Some((revision, spec)) => Reply::new(200, document(name, *revision, spec)),
+            None => Reply::new(404, Json::Null),
         }
     }
 
@@ -138,15 +108,13 @@
         let key = (kind.to_owned(), name.to_owned());
         let current = self.by_key.get(&key).map_or(0, |(revision, _)| *revision);
         if expected.is_some_and(|e| e != current) {
-            return match self.get(kind, name) {
-                Reply::Answer(200, object) => Reply::Answer(409, object),
-                missing => missing,
-            };
+            let found = self.get(kind, name);
+            return Reply::new(if found.status == 200 { 409 } else { found.status }, found.body);
         }
         let removes = spec.is_none();
         self.set(kind, name, spec);
         if removes {
-            Reply::Answer(200, Json::Null)
+            Reply::new(200, Json::Null)
         } else {
             self.get(kind, name)
         }
