--- a/review/stand-ins-3/caller.rs
+++ b/review/stand-ins-3/caller.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 pub const KEY: &str = "key-1";
+/// Longest wait for an answer, beyond the length of any run.
+const ANSWER_LIMIT: Duration = Duration::from_secs(120);
 /// Pause between two statements of a caller.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Pause before a new session.
@@ -17,7 +19,6 @@
 /// A statement and its answer.
 #[derive(Debug, Clone)]
 pub struct Answered {
-    pub answered: Instant,
     /// Number of the instance.
     pub node: usize,
     pub item: String,
@@ -42,7 +43,7 @@
     pub fn open(address: SocketAddr, database: &str) -> std::io::Result<Self> {
         let writer = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
         writer.set_nodelay(true)?;
-        writer.set_read_timeout(Some(Duration::from_secs(4)))?;
+        writer.set_read_timeout(Some(ANSWER_LIMIT))?;
         let mut session = Self {
             reader: BufReader::new(writer.try_clone()?),
             writer,
@@ -114,7 +115,6 @@
                                 break;
                             };
                             answered.lock().expect("no panic under this lock").push(Answered {
-                                answered: Instant::now(),
                                 node,
                                 item,
                                 data,
--- a/review/stand-ins-3/flood.rs
+++ b/review/stand-ins-3/flood.rs
@@ -1,6 +1,9 @@
-//! A few peers flood an instance with statements, without a wait for the answers, which they read all the while.
+//! A few peers send statements ahead, in pieces of many, and read the answers. Meanwhile one ordinary caller sends one
+//! statement, and the platform asks whether the instance is ready.
+//!
+//! The check depends on no time: the ordinary request has to be answered before the peers have got a million answers more.
 
-use crate::caller::{Answered, Session, Writers};
+use crate::caller::Session;
 use crate::fleet::{DATABASE, Fleet};
 use crate::node::TERMINATE;
 use crate::{Run, Verdict};
@@ -11,161 +14,156 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Peers that flood the instance.
+/// Peers that send ahead.
 const PEERS: usize = 4;
-const FLOOD_TIME: Duration = Duration::from_secs(15);
-/// Time after the start of the flood at which the platform stops the instance.
-const SIGTERM_AFTER: Duration = Duration::from_secs(8);
-/// `grace_s` of the settings.
-const GRACE: Duration = Duration::from_secs(6);
-const PROBE_PERIOD: Duration = Duration::from_secs(1);
-/// Time without any answer to others from which the instance counts as hung: five times the `timeout_ms` of the route.
-const HANG: Duration = Duration::from_secs(5);
 /// A statement that the instance answers by itself.
 const STATEMENT: &str = "SET colour blue";
-/// Statements that the peer sends at once.
-const BATCH: usize = 2_000;
+/// Statements that a peer sends in one piece.
+const PIECE: usize = 2_000;
+/// Answers to the peers after which the ordinary request is sent.
+const FIRST_ANSWERS: u64 = 10_000;
+/// Answers to the peers after that by which the ordinary request must be answered.
+const MAX_ANSWERS_AHEAD: u64 = 1_000_000;
+/// Time after which a run that has not decided says nothing.
+const RUN_LIMIT: Duration = Duration::from_secs(75);
+/// `grace_s` of the settings.
+const GRACE: Duration = Duration::from_secs(6);
+const POLL_PERIOD: Duration = Duration::from_millis(10);
+/// Time for which the peers go on in a run without the disruption.
+const CALM_TIME: Duration = Duration::from_secs(3);
 
 pub fn run(run: &Run<'_>) -> std::io::Result<Verdict> {
     let mut fleet = Fleet::open(run, 3)?;
-    let writers = Writers::start(&fleet.addresses(), 4, DATABASE);
-    thread::sleep(Duration::from_secs(2));
-    let started = Instant::now();
-    let flood = Flood::start(fleet.nodes[0].callers, run.trouble)?;
+    let address = fleet.nodes[0].callers;
+    let mut ordinary = Session::open(address, DATABASE)?;
+    ordinary.run("before", "WRITE item before")?;
+    let peers = Peers::start(address, run.trouble)?;
     fleet.record.line(&format!(
-        "{}: {PEERS} peers begin, flood: {}",
+        "{}: {PEERS} peers begin, they send ahead: {}",
         fleet.nodes[0].name, run.trouble
     ));
-    let mut probes = Vec::new();
-    let mut stopped = false;
-    while started.elapsed() < FLOOD_TIME && fleet.nodes[0].ended().is_none() {
-        let asked = Instant::now();
-        if !stopped {
-            let ready = fleet.nodes[0].is_ready();
-            fleet.record.line(&format!(
-                "{}: probe of its readiness, 200: {ready}",
-                fleet.nodes[0].name
-            ));
-            probes.push(ready);
+    let begun = Instant::now();
+    while peers.answers() < FIRST_ANSWERS && (run.trouble || begun.elapsed() < CALM_TIME) {
+        if begun.elapsed() > RUN_LIMIT {
+            return Err(std::io::Error::other("the peers got too few answers"));
         }
-        if !stopped && started.elapsed() >= SIGTERM_AFTER {
-            fleet.nodes[0].signal(TERMINATE, &fleet.record);
-            stopped = true;
+        thread::sleep(POLL_PERIOD);
+    }
+    let before = peers.answers();
+    let (statement, probe) = (Flag::default(), Flag::default());
+    fleet
+        .record
+        .line("one ordinary caller sends WRITE item during; the platform asks for readiness");
+    let is_answered = statement.clone();
+    thread::spawn(move || {
+        let answered = ordinary.run("during", "WRITE item during");
+        is_answered.set(answered.is_ok_and(|(_, result, _)| result.starts_with("COMPLETE ")));
+    });
+    let (is_ready, readiness) = (probe.clone(), fleet.nodes[0].readiness());
+    thread::spawn(move || is_ready.set(crate::node::is_ready_at(readiness, RUN_LIMIT)));
+    while !statement.is_set() && peers.answers() - before < MAX_ANSWERS_AHEAD {
+        if begun.elapsed() > RUN_LIMIT {
+            return Err(std::io::Error::other("the peers got too few answers"));
         }
-        thread::sleep(PROBE_PERIOD.saturating_sub(asked.elapsed()));
+        thread::sleep(POLL_PERIOD);
     }
-    let ended_after = started.elapsed();
-    let ended = fleet.nodes[0].ended();
-    flood.stop();
-    thread::sleep(Duration::from_secs(1));
-    writers.stop();
+    let is_broken = !statement.is_set();
     fleet.record.line(&format!(
-        "the peers sent {} statements and received {} bytes of answers",
-        flood.sent.load(Ordering::Relaxed),
-        flood.received.load(Ordering::Relaxed)
+        "after {} more answers to the peers: statement answered: {}, probe answered: {}",
+        peers.answers() - before,
+        statement.is_set(),
+        probe.is_set()
     ));
-    let record = &fleet.record;
-    let until = started + SIGTERM_AFTER;
-    let answered = writers.answered();
-    for node in 0..fleet.nodes.len() {
-        let gap = longest_gap(&answered, node, started, until);
-        record.line(&format!(
-            "{}: longest time without an answer to its other callers, in the first {SIGTERM_AFTER:?}: {gap:?}",
-            fleet.nodes[node].name
-        ));
+    fleet.nodes[0].signal(TERMINATE, &fleet.record);
+    let signalled = Instant::now();
+    while fleet.nodes[0].ended().is_none() && signalled.elapsed() < GRACE {
+        thread::sleep(POLL_PERIOD);
     }
-    let unanswered = probes.iter().filter(|ready| !**ready).count();
-    record.line(&format!(
-        "{unanswered} of {} probes were not answered",
-        probes.len()
-    ));
-    let is_hung = longest_gap(&answered, 0, started, until) >= HANG;
-    let overstays = ended.is_none() && ended_after >= SIGTERM_AFTER + GRACE;
-    record.line(&format!(
-        "{}: ended within grace_s after SIGTERM: {}",
-        fleet.nodes[0].name, !overstays
+    let ended = fleet.nodes[0].ended().is_some();
+    fleet.record.line(&format!(
+        "{}: has ended within grace_s: {ended}",
+        fleet.nodes[0].name
     ));
-    if is_hung {
-        record.line("Fault: the program does not hand back the processor; it answers nobody but the peers");
+    peers.stop();
+    if is_broken {
+        fleet
+            .record
+            .line("Fault: the program answers the peers only, and nobody else");
     }
-    Ok(if is_hung { Verdict::Broken } else { Verdict::Held })
+    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
 
-/// The longest span without an answer from an instance.
-fn longest_gap(answered: &[Answered], node: usize, from: Instant, to: Instant) -> Duration {
-    let mut times: Vec<_> = answered
-        .iter()
-        .filter(|a| a.node == node)
-        .map(|a| a.answered)
-        .collect();
-    times.retain(|at| *at > from && *at < to);
-    times.push(to);
-    times.sort();
-    let mut last = from;
-    let mut longest = Duration::ZERO;
-    for at in times {
-        longest = longest.max(at - last);
-        last = at;
+#[derive(Debug, Clone, Default)]
+struct Flag(Arc<AtomicBool>);
+
+impl Flag {
+    fn set(&self, value: bool) {
+        self.0.store(value, Ordering::SeqCst);
+    }
+
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
     }
-    longest
 }
 
-struct Flood {
-    stop: Arc<AtomicBool>,
-    sent: Arc<AtomicU64>,
-    received: Arc<AtomicU64>,
+struct Peers {
+    stop: Flag,
+    /// Lines of the answers; each answer has two.
+    lines: Arc<AtomicU64>,
 }
 
-impl Flood {
-    fn start(address: SocketAddr, pipelines: bool) -> std::io::Result<Self> {
-        let flood = Self {
-            stop: Arc::default(),
-            sent: Arc::default(),
-            received: Arc::default(),
+impl Peers {
+    fn start(address: SocketAddr, send_ahead: bool) -> std::io::Result<Self> {
+        let peers = Self {
+            stop: Flag::default(),
+            lines: Arc::default(),
         };
         let sessions = (0..PEERS).map(|_| Session::open(address, DATABASE));
         let sessions: Vec<_> = sessions.collect::<Result<_, _>>()?;
         for session in sessions {
-            if pipelines {
-                flood.pipeline(session)?;
+            if send_ahead {
+                peers.send_ahead(session)?;
             } else {
-                flood.take_turns(session);
+                peers.take_turns(session);
             }
         }
-        Ok(flood)
+        Ok(peers)
+    }
+
+    fn answers(&self) -> u64 {
+        self.lines.load(Ordering::Relaxed) / 2
     }
 
     /// Sends one statement after the other, each after the answer to the last one.
     fn take_turns(&self, mut session: Session) {
-        let (stop, sent) = (Arc::clone(&self.stop), Arc::clone(&self.sent));
+        let (stop, lines) = (self.stop.clone(), Arc::clone(&self.lines));
         thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) && session.run("1", STATEMENT).is_ok() {
-                sent.fetch_add(1, Ordering::Relaxed);
+            while !stop.is_set() && session.run("1", STATEMENT).is_ok() {
+                lines.fetch_add(2, Ordering::Relaxed);
                 thread::sleep(Duration::from_millis(1));
             }
         });
     }
 
     /// Sends statements as fast as the instance takes them.
-    fn pipeline(&self, session: Session) -> std::io::Result<()> {
+    fn send_ahead(&self, session: Session) -> std::io::Result<()> {
         let mut writer = session.into_stream();
         let mut reader = writer.try_clone()?;
-        let (ended, received) = (Arc::clone(&self.stop), Arc::clone(&self.received));
+        let (ended, lines) = (self.stop.clone(), Arc::clone(&self.lines));
         thread::spawn(move || {
-            let mut buf = vec![0; 1 << 20];
+            let mut buf = vec![0; 1 << 18];
             while let Ok(len) = reader.read(&mut buf) {
-                received.fetch_add(len as u64, Ordering::Relaxed);
-                if len == 0 || ended.load(Ordering::Relaxed) {
+                let count = buf[..len].iter().filter(|byte| **byte == b'\n').count();
+                lines.fetch_add(count as u64, Ordering::Relaxed);
+                if len == 0 || ended.is_set() {
                     break;
                 }
             }
         });
-        let (stop, sent) = (Arc::clone(&self.stop), Arc::clone(&self.sent));
+        let stop = self.stop.clone();
         thread::spawn(move || {
-            let batch = format!("QUERY 1 {STATEMENT}\r\n").repeat(BATCH);
-            while !stop.load(Ordering::Relaxed) && writer.write_all(batch.as_bytes()).is_ok() {
-                sent.fetch_add(BATCH as u64, Ordering::Relaxed);
-            }
+            let piece = format!("QUERY 1 {STATEMENT}\r\n").repeat(PIECE);
+            while !stop.is_set() && writer.write_all(piece.as_bytes()).is_ok() {}
             // The instance may have closed it.
             let _closed = writer.shutdown(Shutdown::Both);
         });
@@ -173,6 +171,6 @@
     }
 
     fn stop(&self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.stop.set(true);
     }
 }
--- a/review/stand-ins-3/node.rs
+++ b/review/stand-ins-3/node.rs
@@ -92,16 +92,12 @@
         unsafe { kill(process.id() as i32, signal) };
     }
 
+    pub const fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
     pub fn is_ready(&self) -> bool {
-        let ask = || -> std::io::Result<String> {
-            let mut stream = TcpStream::connect_timeout(&self.readiness, Duration::from_millis(200))?;
-            stream.set_read_timeout(Some(Duration::from_millis(500)))?;
-            stream.write_all(b"GET /wasabiyard/readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")?;
-            let mut text = String::new();
-            stream.read_to_string(&mut text)?;
-            Ok(text)
-        };
-        ask().is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+        is_ready_at(self.readiness, Duration::from_millis(500))
     }
 
     /// Whether the process has ended by itself, and how.
@@ -120,6 +116,19 @@
     }
 }
 
+/// Asks once whether an instance is ready, and waits for the answer up to `limit`.
+pub fn is_ready_at(address: SocketAddr, limit: Duration) -> bool {
+    let ask = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&address, limit)?;
+        stream.set_read_timeout(Some(limit))?;
+        stream.write_all(b"GET /wasabiyard/readyz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        Ok(text)
+    };
+    ask().is_ok_and(|text| text.starts_with("HTTP/1.1 200"))
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         if let Some(process) = &mut self.process {
