--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -3,13 +3,11 @@
 mod caller;
 mod database;
 mod fleet;
-mod flood;
 mod http;
 mod json;
 mod node;
 mod platform;
 mod record;
-mod shared_name;
 mod stale_order;
 mod store;
 
@@ -46,8 +44,6 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let result = std::fs::create_dir_all(&dir).and_then(|()| match name.as_str() {
-        "flood" => flood::run(&run),
-        "shared-name" => shared_name::run(&run),
         "stale-order" => stale_order::run(&run),
         _ => Err(std::io::Error::other("no such case")),
     });
--- a/review/stand-ins-3/stale_order.rs
+++ b/review/stand-ins-3/stale_order.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 /// Time from the record of the chosen server to the freeze.
-const FREEZE_AFTER: Duration = Duration::from_millis(300);
+const FREEZE_AFTER: Duration = Duration::from_millis(1_050);
 /// Length of the freeze.
-const FREEZE_TIME: Duration = Duration::from_secs(5);
+const FREEZE_TIME: Duration = Duration::from_secs(4);
 /// Time from the record to the second step of the replacement.
 const SECOND_STEP_AFTER: Duration = Duration::from_millis(1_500);
 /// Time from the record until the platform takes connections again.
