--- a/review/stand-ins-3/caller.rs
+++ b/review/stand-ins-3/caller.rs
@@ -3,7 +3,7 @@
 use crate::database::read_line;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -86,6 +86,7 @@
 pub struct Writers {
     stop: Arc<AtomicBool>,
     answered: Arc<Mutex<Vec<Answered>>>,
+    unanswered: Arc<AtomicUsize>,
 }
 
 impl Writers {
@@ -94,10 +95,12 @@
         let writers = Self {
             stop: Arc::default(),
             answered: Arc::default(),
+            unanswered: Arc::default(),
         };
         for (node, address) in nodes.iter().enumerate() {
             for caller in 0..count {
                 let (stop, answered) = (Arc::clone(&writers.stop), Arc::clone(&writers.answered));
+                let unanswered = Arc::clone(&writers.unanswered);
                 let (address, database) = (*address, database.to_owned());
                 thread::spawn(move || {
                     let mut number = 0;
@@ -112,6 +115,7 @@
                             let data = format!("{number}");
                             let id = format!("{node:04x}{caller:04x}{number:08x}");
                             let Ok((_, result, _)) = session.run(&id, &format!("WRITE {item} {data}")) else {
+                                unanswered.fetch_add(1, Ordering::Relaxed);
                                 break;
                             };
                             answered.lock().expect("no panic under this lock").push(Answered {
@@ -133,6 +137,11 @@
         self.answered.lock().expect("no panic under this lock").clone()
     }
 
+    /// Number of statements whose session ended before their answer.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.load(Ordering::Relaxed)
+    }
+
     pub fn stop(&self) {
         self.stop.store(true, Ordering::Relaxed);
     }
--- a/review/stand-ins-3/database.rs
+++ b/review/stand-ins-3/database.rs
@@ -37,18 +37,6 @@
     pub data: String,
 }
 
-/// The execution of a prepared statement.
-#[derive(Debug, Clone)]
-pub struct Execution {
-    /// Id of the requester's statement.
-    pub id: String,
-    pub server: String,
-    /// Name under which the statement was prepared on the connection.
-    pub name: String,
-    /// What was run.
-    pub shape: String,
-}
-
 #[derive(Debug, Clone)]
 pub struct Server {
     pub id: String,
@@ -78,7 +66,6 @@
     /// Term and time of each promotion that took effect.
     promotions: Vec<(u64, Instant)>,
     commits: Vec<Commit>,
-    executions: Vec<Execution>,
     sequence: u64,
 }
 
@@ -154,10 +141,6 @@
         self.lock().commits.clone()
     }
 
-    pub fn executions(&self) -> Vec<Execution> {
-        self.lock().executions.clone()
-    }
-
     /// Lets a server announce that it leaves.
     pub fn drain(&self, id: &str) {
         for server in self.lock().servers.iter_mut().filter(|s| s.id == id) {
@@ -245,6 +228,9 @@
                 if server.primary && !steps_down {
                     continue;
                 }
+                if !server.primary && server.term == leader.term && server.log.len() == leader.log.len() {
+                    continue;
+                }
                 changed |= server.primary;
                 server.primary = false;
                 server.term = leader.term;
@@ -265,7 +251,8 @@
 struct Connection {
     service: Service,
     index: usize,
-    prepared: HashMap<String, (bool, String)>,
+    /// Prepared names, and whether their statements write.
+    prepared: HashMap<String, bool>,
     /// Whether the open transaction is read-only, and its writes.
     transaction: Option<(bool, Vec<(String, String)>)>,
     failed: bool,
@@ -302,8 +289,8 @@
             let Some(rest) = line.strip_prefix("QUERY ") else {
                 return Ok(());
             };
-            let (query, text) = rest.split_once(' ').unwrap_or((rest, ""));
-            let answer = self.run(query, text);
+            let (_, text) = rest.split_once(' ').unwrap_or((rest, ""));
+            let answer = self.run(text);
             let status = match (&self.transaction, self.failed) {
                 (None, _) => 'I',
                 (Some(_), false) => 'T',
@@ -329,7 +316,7 @@
         self.service.lock().servers[self.index].position()
     }
 
-    fn run(&mut self, query: &str, text: &str) -> Answer {
+    fn run(&mut self, text: &str) -> Answer {
         let mut text = text;
         if let Some(rest) = text.strip_prefix("AFTERLSN ") {
             let (point, statement) = rest.split_once(' ').unwrap_or((rest, ""));
@@ -364,11 +351,10 @@
                 done()
             }
             "PREPARE" => {
-                let mut words = rest.splitn(3, ' ');
+                let mut words = rest.split(' ');
                 let name = words.next().unwrap_or_default().to_owned();
                 let writes = words.next() == Some("WRITE");
-                self.prepared
-                    .insert(name, (writes, words.next().unwrap_or_default().to_owned()));
+                self.prepared.insert(name, writes);
                 done()
             }
             "BEGIN" => {
@@ -394,19 +380,9 @@
                 let mut words = rest.splitn(3, ' ');
                 let name = words.next().unwrap_or_default();
                 let item = words.next().unwrap_or_default();
-                let Some((writes, shape)) = self.prepared.get(name).cloned() else {
+                let Some(writes) = self.prepared.get(name).copied() else {
                     return Err("NOSTMT".to_owned());
                 };
-                {
-                    let mut state = self.service.lock();
-                    let server = state.servers[self.index].id.clone();
-                    state.executions.push(Execution {
-                        id: query.to_owned(),
-                        server,
-                        name: name.to_owned(),
-                        shape,
-                    });
-                }
                 if writes {
                     self.write(item, words.next().unwrap_or_default())
                 } else {
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -1,10 +1,12 @@
 //! Stand-ins and runs of the cases of the third review: `stand-ins CASE DIRECTORY`.
 
 mod caller;
+mod crowd;
 mod database;
 mod fleet;
 mod http;
 mod json;
+mod memory_limit;
 mod node;
 mod platform;
 mod record;
@@ -14,6 +16,9 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// Argument that starts a crowd of callers instead of a case, before the address to which they come.
+pub const CROWD: &str = "crowd";
+
 /// Result of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -33,6 +38,15 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
+    if let [_, command, address] = args.as_slice()
+        && command == CROWD
+    {
+        return match address.parse() {
+            // The crowd loses its connections when the instance ends.
+            Ok(address) => ExitCode::from(u8::from(crowd::run(address).is_err())),
+            Err(_) => ExitCode::from(2),
+        };
+    }
     let [_, name, case] = args.as_slice() else {
         eprintln!("usage: stand-ins CASE DIRECTORY");
         return ExitCode::from(2);
@@ -44,6 +58,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let result = std::fs::create_dir_all(&dir).and_then(|()| match name.as_str() {
+        "memory-limit" => memory_limit::run(&run),
         "stale-order" => stale_order::run(&run),
         _ => Err(std::io::Error::other("no such case")),
     });
--- a/review/stand-ins-3/node.rs
+++ b/review/stand-ins-3/node.rs
@@ -13,12 +13,29 @@
 
 pub const STOP: i32 = 19;
 pub const CONTINUE: i32 = 18;
-pub const TERMINATE: i32 = 15;
+/// State of an open connection in `/proc/net/tcp`.
+const ESTABLISHED: &str = "01";
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Memory of a process as the platform counts it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Memory {
+    pub resident: usize,
+    /// Bytes of callers that were received and not read.
+    pub unread: usize,
+    /// Connections of callers.
+    pub connections: usize,
+}
+
+impl Memory {
+    pub const fn total(&self) -> usize {
+        self.resident + self.unread
+    }
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub name: String,
@@ -84,26 +101,54 @@
         let Some(process) = &self.process else { return };
         let name = match signal {
             STOP => "frozen",
-            CONTINUE => "runs again",
-            _ => "gets SIGTERM",
+            _ => "runs again",
         };
         record.line(&format!("{}: {name}", self.name));
         // SAFETY: a signal to a process that this one has started and not yet waited for.
         unsafe { kill(process.id() as i32, signal) };
     }
 
-    pub const fn readiness(&self) -> SocketAddr {
-        self.readiness
-    }
-
     pub fn is_ready(&self) -> bool {
         is_ready_at(self.readiness, Duration::from_millis(500))
     }
 
-    /// Whether the process has ended by itself, and how.
-    pub fn ended(&mut self) -> Option<String> {
-        let status = self.process.as_mut()?.try_wait().ok()??;
-        Some(status.to_string())
+    /// Ends the process at once.
+    pub fn kill(&mut self) -> std::io::Result<()> {
+        if let Some(mut process) = self.process.take() {
+            process.kill()?;
+            process.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Reads the memory of the process from the files of the system.
+    pub fn memory(&self) -> std::io::Result<Memory> {
+        let process = self
+            .process
+            .as_ref()
+            .ok_or_else(|| std::io::Error::other("not started"))?;
+        let status = fs::read_to_string(format!("/proc/{}/status", process.id()))?;
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = resident.and_then(|text| text.trim().strip_suffix(" kB")?.parse::<usize>().ok());
+        let mut memory = Memory {
+            resident: kilobytes.ok_or_else(|| std::io::Error::other("no resident memory"))? * 1_024,
+            ..Memory::default()
+        };
+        let port = format!(":{:04X}", self.callers.port());
+        for line in fs::read_to_string("/proc/net/tcp")?.lines() {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            // Local address, remote address, state, and the bytes to send and to read.
+            let [_, local, _, ESTABLISHED, queues, ..] = fields.as_slice() else {
+                continue;
+            };
+            if let Some((_, unread)) = queues.split_once(':')
+                && local.ends_with(&port)
+            {
+                memory.connections += 1;
+                memory.unread += usize::from_str_radix(unread, 16).unwrap_or(0);
+            }
+        }
+        Ok(memory)
     }
 
     /// The lines of the log that hold one of the texts.
