--- a/review/stand-ins-3/database.rs
+++ b/review/stand-ins-3/database.rs
@@ -12,6 +12,8 @@
 
 /// Time from an accepted order to promote until it takes effect.
 const PROMOTION_DELAY: Duration = Duration::from_millis(600);
+/// Time that a statement waits for a slot at a server that is slow.
+const SLOW_STATEMENT_WAIT: Duration = Duration::from_millis(500);
 /// Time for which a former primary goes on after a promotion, counted from when it can reach the new one.
 const STEP_DOWN_DELAY: Duration = Duration::from_secs(1);
 const REPLICATION_PERIOD: Duration = Duration::from_millis(8);
@@ -66,6 +68,10 @@
     /// Term and time of each promotion that took effect.
     promotions: Vec<(u64, Instant)>,
     commits: Vec<Commit>,
+    /// Time that `STATUS` and `STEPDOWN` wait for a slot.
+    command_wait: Duration,
+    /// A server that is slow, from when and until when.
+    slow: Option<(String, Instant, Instant)>,
     sequence: u64,
 }
 
@@ -141,6 +147,25 @@
         self.lock().commits.clone()
     }
 
+    /// Lets `STATUS` and `STEPDOWN` wait for a slot.
+    pub fn delay_commands(&self, wait: Duration) {
+        self.lock().command_wait = wait;
+    }
+
+    /// Makes a server slow for a while.
+    pub fn slow_down(&self, id: &str, from: Instant, until: Instant) {
+        self.lock().slow = Some((id.to_owned(), from, until));
+    }
+
+    fn is_slow(&self, id: &str) -> bool {
+        let now = Instant::now();
+        let state = self.lock();
+        state
+            .slow
+            .as_ref()
+            .is_some_and(|(server, from, until)| server == id && *from <= now && now < *until)
+    }
+
     /// Lets a server announce that it leaves.
     pub fn drain(&self, id: &str) {
         for server in self.lock().servers.iter_mut().filter(|s| s.id == id) {
@@ -290,6 +315,12 @@
                 return Ok(());
             };
             let (_, text) = rest.split_once(' ').unwrap_or((rest, ""));
+            if self.service.is_slow(&id) {
+                thread::sleep(SLOW_STATEMENT_WAIT);
+            } else if text.starts_with("STATUS") || text.starts_with("STEPDOWN") {
+                let wait = self.service.lock().command_wait;
+                thread::sleep(wait);
+            }
             let answer = self.run(text);
             let status = match (&self.transaction, self.failed) {
                 (None, _) => 'I',
--- a/review/stand-ins-3/http.rs
+++ b/review/stand-ins-3/http.rs
@@ -18,6 +18,9 @@
     pub body: Json,
 }
 
+/// Status of an answer that is not sent.
+const LOST: u16 = 0;
+
 /// The answer to a call.
 #[derive(Debug)]
 pub struct Reply {
@@ -26,6 +29,11 @@
 }
 
 impl Reply {
+    /// No answer, to this call or to later ones of its connection.
+    pub const fn lost() -> Self {
+        Self::new(LOST, Json::Null)
+    }
+
     pub const fn new(status: u16, body: Json) -> Self {
         Self { status, body }
     }
@@ -41,6 +49,10 @@
     let mut reader = BufReader::new(stream);
     while let Some(call) = read_call(&mut reader)? {
         let Reply { status, body } = handle(&call);
+        if status == LOST {
+            std::io::copy(&mut reader, &mut std::io::sink())?;
+            return Ok(());
+        }
         let body = body.to_string();
         let head = format!(
             "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
--- a/review/stand-ins-3/stale_order.rs
+++ b/review/stand-ins-3/stale_order.rs
@@ -125,7 +125,7 @@
 }
 
 /// Whether a write was acknowledged that a former primary had committed after a promotion had taken effect.
-fn check_writes<F>(fleet: &Fleet, writers: &Writers, is_frozen: F) -> bool
+pub fn check_writes<F>(fleet: &Fleet, writers: &Writers, is_frozen: F) -> bool
 where
     F: Fn(usize, Instant) -> bool,
 {
--- a/review/stand-ins-3/store.rs
+++ b/review/stand-ins-3/store.rs
@@ -5,6 +5,11 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Time after which a write is carried out whose answer was lost: 1 to 6 s by `platform_lost`.
+const LATENESS: Duration = Duration::from_millis(1_300);
 
 #[derive(Debug, Default)]
 struct Objects {
@@ -12,10 +17,20 @@
     by_key: BTreeMap<(String, String), (u64, Json)>,
 }
 
+/// A write whose answer is to be lost, and that is done late.
+#[derive(Debug, Default)]
+struct LateWrite {
+    /// Kind and name of the object whose next write with a text in its `spec` is meant.
+    armed: Option<(String, String, &'static str)>,
+    /// When it arrived.
+    arrived: Option<Instant>,
+}
+
 /// Handle to the store; clones share their content.
 #[derive(Debug, Clone, Default)]
 pub struct Store {
     objects: Arc<Mutex<Objects>>,
+    late: Arc<Mutex<LateWrite>>,
 }
 
 impl Store {
@@ -40,6 +55,39 @@
         object.map_or(Json::Null, |(_, spec)| spec.clone())
     }
 
+    /// Loses the answer to the next write of an object whose `spec` contains `text`, and carries the write out late.
+    pub fn delay_write(&self, kind: &str, name: &str, text: &'static str) {
+        self.late().armed = Some((kind.to_owned(), name.to_owned(), text));
+    }
+
+    /// When the delayed write arrived.
+    pub fn delayed_at(&self) -> Option<Instant> {
+        self.late().arrived
+    }
+
+    fn late(&self) -> std::sync::MutexGuard<'_, LateWrite> {
+        self.late.lock().expect("no panic under this lock")
+    }
+
+    /// Whether a write is the one that is to be delayed; if so, it is carried out later if its condition still holds.
+    fn delays(&self, kind: &str, name: &str, expected: Option<u64>, spec: &Json) -> bool {
+        let mut late = self.late();
+        let is_meant = late
+            .armed
+            .as_ref()
+            .is_some_and(|(k, n, text)| k == kind && n == name && spec.to_string().contains(text));
+        if is_meant {
+            late.armed = None;
+            late.arrived = Some(Instant::now());
+            let (store, kind, name, spec) = (self.clone(), kind.to_owned(), name.to_owned(), spec.clone());
+            thread::spawn(move || {
+                thread::sleep(LATENESS);
+                store.lock().write_if(&kind, &name, expected, Some(spec));
+            });
+        }
+        is_meant
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Objects> {
         self.objects.lock().expect("no panic under this lock")
     }
@@ -58,6 +106,9 @@
             }
             ("PUT", Some((kind, name))) => {
                 let revision = call.body.get("meta").get("revision").as_number();
+                if self.delays(kind, name, revision, call.body.get("spec")) {
+                    return Reply::lost();
+                }
                 objects.write_if(kind, name, revision, Some(call.body.get("spec").clone()))
             }
             ("DELETE", Some((kind, name))) => {
