--- a/review/stand-ins-3/database.rs
+++ b/review/stand-ins-3/database.rs
@@ -12,8 +12,7 @@
 
 /// Time from an accepted order to promote until it takes effect.
 const PROMOTION_DELAY: Duration = Duration::from_millis(600);
-/// Time that a statement waits for a slot at a server that is slow.
-const SLOW_STATEMENT_WAIT: Duration = Duration::from_millis(500);
+const CUT_CHECK_PERIOD: Duration = Duration::from_millis(5);
 /// Time for which a former primary goes on after a promotion, counted from when it can reach the new one.
 const STEP_DOWN_DELAY: Duration = Duration::from_secs(1);
 const REPLICATION_PERIOD: Duration = Duration::from_millis(8);
@@ -68,10 +67,8 @@
     /// Term and time of each promotion that took effect.
     promotions: Vec<(u64, Instant)>,
     commits: Vec<Commit>,
-    /// Time that `STATUS` and `STEPDOWN` wait for a slot.
-    command_wait: Duration,
-    /// A server that is slow, from when and until when.
-    slow: Option<(String, Instant, Instant)>,
+    /// A server that is cut off from an instance, given by its number, until a time.
+    cut: Option<(usize, usize, Instant)>,
     sequence: u64,
 }
 
@@ -86,7 +83,8 @@
 
 impl Service {
     /// Starts one server in each zone, the first as the primary, and keeps their entries in the store up to date.
-    pub fn open(name: &str, zones: &[&str], store: &Store) -> Result<Self> {
+    /// Each of `nodes` instances gets an address of its own for each server.
+    pub fn open(name: &str, zones: &[&str], nodes: usize, store: &Store) -> Result<Self> {
         let service = Self {
             name: name.to_owned(),
             state: Arc::default(),
@@ -94,25 +92,34 @@
             store: store.clone(),
         };
         for (i, zone) in zones.iter().enumerate() {
-            let listener = TcpListener::bind("127.0.0.1:0")?;
+            let listeners: Vec<_> = (0..nodes)
+                .map(|_| TcpListener::bind("127.0.0.1:0"))
+                .collect::<Result<_>>()?;
+            let addresses: Vec<_> = listeners
+                .iter()
+                .map(TcpListener::local_addr)
+                .collect::<Result<_>>()?;
+            store.give_each_its_own(&addresses);
             service.lock().servers.push(Server {
                 id: format!("i-{name}-{i}"),
                 zone: (*zone).to_owned(),
-                address: listener.local_addr()?,
+                address: addresses[0],
                 primary: i == 0,
                 term: 1,
                 log: Vec::new(),
                 draining: false,
                 born: 1_700_000_000_000 + i as u64,
             });
-            let service = service.clone();
-            thread::spawn(move || {
-                for stream in listener.incoming().flatten() {
-                    let connection = Connection::new(service.clone(), i);
-                    // Clients may drop connections at any time.
-                    thread::spawn(move || connection.serve(stream).is_ok());
-                }
-            });
+            for (node, listener) in listeners.into_iter().enumerate() {
+                let service = service.clone();
+                thread::spawn(move || {
+                    for stream in listener.incoming().flatten() {
+                        let connection = Connection::new(service.clone(), i, node);
+                        // Clients may drop connections at any time.
+                        thread::spawn(move || connection.serve(stream).is_ok());
+                    }
+                });
+            }
         }
         let replicator = service.clone();
         thread::spawn(move || {
@@ -147,23 +154,22 @@
         self.lock().commits.clone()
     }
 
-    /// Lets `STATUS` and `STEPDOWN` wait for a slot.
-    pub fn delay_commands(&self, wait: Duration) {
-        self.lock().command_wait = wait;
+    /// Cuts the path between a server and an instance in both directions. What is sent meanwhile arrives afterwards.
+    pub fn cut(&self, id: &str, node: usize, until: Instant) {
+        let mut state = self.lock();
+        let server = state.servers.iter().position(|s| s.id == id);
+        state.cut = server.map(|server| (server, node, until));
     }
 
-    /// Makes a server slow for a while.
-    pub fn slow_down(&self, id: &str, from: Instant, until: Instant) {
-        self.lock().slow = Some((id.to_owned(), from, until));
-    }
-
-    fn is_slow(&self, id: &str) -> bool {
-        let now = Instant::now();
-        let state = self.lock();
-        state
-            .slow
-            .as_ref()
-            .is_some_and(|(server, from, until)| server == id && *from <= now && now < *until)
+    /// Waits while a server is cut off from an instance.
+    fn pass(&self, server: usize, node: usize) {
+        let is_cut = || {
+            let cut = self.lock().cut;
+            cut.is_some_and(|(s, n, until)| s == server && n == node && Instant::now() < until)
+        };
+        while is_cut() {
+            thread::sleep(CUT_CHECK_PERIOD);
+        }
     }
 
     /// Lets a server announce that it leaves.
@@ -276,6 +282,8 @@
 struct Connection {
     service: Service,
     index: usize,
+    /// Number of the instance at the other end.
+    node: usize,
     /// Prepared names, and whether their statements write.
     prepared: HashMap<String, bool>,
     /// Whether the open transaction is read-only, and its writes.
@@ -287,10 +295,11 @@
 type Answer = std::result::Result<(Vec<String>, String), String>;
 
 impl Connection {
-    fn new(service: Service, index: usize) -> Self {
+    fn new(service: Service, index: usize, node: usize) -> Self {
         Self {
             service,
             index,
+            node,
             prepared: HashMap::new(),
             transaction: None,
             failed: false,
@@ -309,18 +318,14 @@
         if words.len() < 3 || words[1] != self.service.name || words.get(3).is_some_and(|w| **w != *id) {
             return writer.write_all(format!("ERROR WRONGNODE {id}\r\n").as_bytes());
         }
+        self.service.pass(self.index, self.node);
         writer.write_all(format!("READY I {}\r\n", self.position()).as_bytes())?;
         while let Some(line) = read_line(&mut reader)? {
             let Some(rest) = line.strip_prefix("QUERY ") else {
                 return Ok(());
             };
             let (_, text) = rest.split_once(' ').unwrap_or((rest, ""));
-            if self.service.is_slow(&id) {
-                thread::sleep(SLOW_STATEMENT_WAIT);
-            } else if text.starts_with("STATUS") || text.starts_with("STEPDOWN") {
-                let wait = self.service.lock().command_wait;
-                thread::sleep(wait);
-            }
+            self.service.pass(self.index, self.node);
             let answer = self.run(text);
             let status = match (&self.transaction, self.failed) {
                 (None, _) => 'I',
@@ -338,6 +343,7 @@
                 Err(code) => out.push_str(&format!("ERROR {code} {id}\r\n")),
             }
             out.push_str(&format!("READY {status} {}\r\n", self.position()));
+            self.service.pass(self.index, self.node);
             writer.write_all(out.as_bytes())?;
         }
         Ok(())
--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -33,9 +33,8 @@
         let record = Record::create(&run.case.join("record.txt"))?;
         record.line(&format!("start, trouble: {}", run.trouble));
         let store = Store::default();
-        let store_address = store.listen()?;
         store.write("config", "main", configuration(1));
-        let service = Service::open(SERVICE, &SERVER_ZONES, &store)?;
+        let service = Service::open(SERVICE, &SERVER_ZONES, nodes, &store)?;
         let platform = Platform::open(vec![service.clone()], &record)?;
         let mut started = Vec::new();
         for i in 0..nodes {
@@ -45,7 +44,7 @@
                 &name,
                 zone,
                 &ZONES,
-                store_address,
+                store.listen(i)?,
                 platform.address,
                 run.dir,
             )?);
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod json;
+mod late_record;
 mod memory_limit;
 mod node;
 mod platform;
@@ -58,6 +59,7 @@
         trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let result = std::fs::create_dir_all(&dir).and_then(|()| match name.as_str() {
+        "late-record" => late_record::run(&run),
         "memory-limit" => memory_limit::run(&run),
         "stale-order" => stale_order::run(&run),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/stand-ins-3/node.rs
+++ b/review/stand-ins-3/node.rs
@@ -13,7 +13,6 @@
 
 pub const STOP: i32 = 19;
 pub const CONTINUE: i32 = 18;
-pub const TERMINATE: i32 = 15;
 /// State of an open connection in `/proc/net/tcp`.
 const ESTABLISHED: &str = "01";
 
@@ -102,8 +101,7 @@
         let Some(process) = &self.process else { return };
         let name = match signal {
             STOP => "frozen",
-            CONTINUE => "runs again",
-            _ => "gets SIGTERM",
+            _ => "runs again",
         };
         record.line(&format!("{}: {name}", self.name));
         // SAFETY: a signal to a process that this one has started and not yet waited for.
@@ -114,16 +112,6 @@
         is_ready_at(self.readiness, Duration::from_millis(500))
     }
 
-    pub const fn readiness(&self) -> SocketAddr {
-        self.readiness
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        let process = self.process.as_mut();
-        process.is_some_and(|p| p.try_wait().is_ok_and(|status| status.is_some()))
-    }
-
     /// Ends the process at once.
     pub fn kill(&mut self) -> std::io::Result<()> {
         if let Some(mut process) = self.process.take() {
--- a/review/stand-ins-3/store.rs
+++ b/review/stand-ins-3/store.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{self, Call, Reply};
 use crate::json::Json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -24,6 +24,8 @@
     armed: Option<(String, String, &'static str)>,
     /// When it arrived.
     arrived: Option<Instant>,
+    /// When the instances sent each of their writes.
+    all: Vec<Instant>,
 }
 
 /// Handle to the store; clones share their content.
@@ -31,15 +33,47 @@
 pub struct Store {
     objects: Arc<Mutex<Objects>>,
     late: Arc<Mutex<LateWrite>>,
+    /// Address of a server in its entry, and the addresses at which the instances reach it.
+    own_addresses: Arc<Mutex<HashMap<String, Vec<String>>>>,
 }
 
 impl Store {
-    /// Serves the store on a loopback port.
-    pub fn listen(&self) -> std::io::Result<SocketAddr> {
+    /// Lets each instance find an address of its own in the entry of a server, so that the paths can be cut one by one.
+    pub fn give_each_its_own(&self, addresses: &[SocketAddr]) {
+        let addresses: Vec<_> = addresses.iter().map(SocketAddr::to_string).collect();
+        let mut own = self.own_addresses.lock().expect("no panic under this lock");
+        own.insert(addresses[0].clone(), addresses);
+    }
+
+    /// A document as the instance `node` reads it.
+    fn as_read_by(&self, node: usize, document: &mut Json) {
+        match document {
+            Json::Text(text) => {
+                let own = self.own_addresses.lock().expect("no panic under this lock");
+                if let Some(addresses) = own.get(text) {
+                    text.clone_from(&addresses[node]);
+                }
+            }
+            Json::List(items) => items.iter_mut().for_each(|item| self.as_read_by(node, item)),
+            Json::Object(fields) => fields
+                .iter_mut()
+                .for_each(|(_, value)| self.as_read_by(node, value)),
+            _ => {}
+        }
+    }
+
+    /// Serves the store to the instance `node` on a loopback port.
+    pub fn listen(&self, node: usize) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let store = self.clone();
-        http::serve(listener, move |call| store.handle(call));
+        http::serve(listener, move |call| {
+            let mut reply = store.handle(call);
+            if call.path.contains("/servers") {
+                store.as_read_by(node, &mut reply.body);
+            }
+            reply
+        });
         Ok(address)
     }
 
@@ -60,6 +94,15 @@
         self.late().armed = Some((kind.to_owned(), name.to_owned(), text));
     }
 
+    /// Number of writes of the instances, without new objects and removals, from half of `span` before `at` to half of it after.
+    pub fn writes_about(&self, at: Instant, span: Duration) -> usize {
+        let late = self.late();
+        let times = late.all.iter();
+        times
+            .filter(|t| **t + span / 2 >= at && **t <= at + span / 2)
+            .count()
+    }
+
     /// When the delayed write arrived.
     pub fn delayed_at(&self) -> Option<Instant> {
         self.late().arrived
@@ -72,6 +115,7 @@
     /// Whether a write is the one that is to be delayed; if so, it is carried out later if its condition still holds.
     fn delays(&self, kind: &str, name: &str, expected: Option<u64>, spec: &Json) -> bool {
         let mut late = self.late();
+        late.all.push(Instant::now());
         let is_meant = late
             .armed
             .as_ref()
