--- a/review/stand-ins-3/node.rs
+++ b/review/stand-ins-3/node.rs
@@ -4,8 +4,10 @@
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// The program of the deploy file, from the root of the repository.
@@ -13,6 +15,7 @@
 
 pub const STOP: i32 = 19;
 pub const CONTINUE: i32 = 18;
+const PORTS: Range<u16> = 20_000..30_000;
 /// State of an open connection in `/proc/net/tcp`.
 const ESTABLISHED: &str = "01";
 
@@ -36,6 +39,19 @@
     }
 }
 
+/// Binds a port below those that the system gives to connections, so that none takes it before the process starts.
+fn bind_free_port() -> std::io::Result<TcpListener> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id() * 97;
+    for _ in 0..PORTS.len() {
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS.len() as u32;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", PORTS.start + offset as u16)) {
+            return Ok(listener);
+        }
+    }
+    Err(std::io::Error::other("no free port"))
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub name: String,
@@ -55,9 +71,7 @@
         platform: SocketAddr,
         dir: &Path,
     ) -> std::io::Result<Self> {
-        let ports: Vec<TcpListener> = (0..4)
-            .map(|_| TcpListener::bind("127.0.0.1:0"))
-            .collect::<Result<_, _>>()?;
+        let ports: Vec<TcpListener> = (0..4).map(|_| bind_free_port()).collect::<Result<_, _>>()?;
         let addresses: Vec<SocketAddr> = ports
             .iter()
             .map(TcpListener::local_addr)
