gateway: log on which version each primary record is written

Hypotheses, and what tells them apart: - a decision from record 3 is written on the version of record 4 (the claim): a successful write whose epoch is not above the known one, on a version that no write of the holder returned; - the store does a write whose condition does not hold: a success on a version other than the present one; - two holders of the failover lease act: writes of two instances, or orders with two fencing tokens; - an announcement replaces the record during the step: the record known at the write is newer, on an older version; - the order is sent without a write: an order without one before it. The log told the order and the records that were applied, but neither the version nor the known epoch of a write.

The holder, alone and with fence 1 throughout, writes epoch=4 Serving i-members-1 known_epoch=3 expected=50 Unknown epoch=4 Promoting i-members-2 known_epoch=3 expected=50 Conflict (68) epoch=4 Promoting i-members-2 known_epoch=4 expected=68 Ok(75) and then orders the promotion. The first hypothesis holds; the second is ruled out by the conflict, the third by the one writer and fence, the fourth by the version, which is that of the newer record, and the fifth by the write before the order. No logic changes.

--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -229,15 +229,28 @@
         service: &Arc<str>,
         next: PrimaryRecord,
     ) -> Result<(), PlatformError> {
-        let version = self.state.borrow().primary_versions.get(service).copied();
+        let (known_epoch, version) = {
+            let state = self.state.borrow();
+            let known = state.snapshot.primaries.get(service);
+            (
+                known.map(|r| r.epoch),
+                state.primary_versions.get(service).copied(),
+            )
+        };
         let precondition = version.map_or(Precondition::Absent, Precondition::Version);
         let value = serde_json::json!(next);
         self.store_calls.on_call(StoreCallKind::Failover);
         let sent_at = clock::now();
-        let version = self
+        let written = self
             .platform
             .put(&records::primary_key(service), precondition, &value)
-            .await?;
+            .await;
+        log::info!(
+            service:% = service, epoch = next.epoch, leadership:? = next.leadership, known_epoch:? = known_epoch,
+            expected:? = version, result:? = written;
+            "write of a primary record"
+        );
+        let version = written?;
         {
             let mut state = self.state.borrow_mut();
             state.proofs.add(version.0, sent_at);
