gateway: write a change of primary on the record from which it was decided

Cause: versions of primary records were kept apart from the records. The holder of the failover lease decided from record 3, its poll read record 4 (its own write, unanswered and done late) during the look, and the decision was written as another record 4 on the version just read.

Change: a record and its version are one value, and every write is conditional on the version of the record from which it was decided. After each wait, and before each write, demotion and order, the step checks that it holds the lease and that its record is still the newest known one. After a write without an answer or with a conflict, the records are read before the next step. Where the next record may put the old primary back in use, its record is written once more before a demotion, unless no write on it is unanswered. At most one write succeeds on a version, whether the lost one is done after 0.5 s, after 6 s or never.

The rewrite of records after a restore took the version at the time of each write too, and takes that of its decision now.

--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -5,9 +5,9 @@
 
 use super::control_loop::{ControlThread, OutboundMessage};
 use super::failover::{FailoverReason, failover_reason};
-use super::records;
 use super::server_commands::ServerCommand;
-use super::store_calls::StoreCallKind;
+use super::step_error::StepError;
+use super::stored_primaries::StoredRecord;
 use super::successor::OldPrimaryStep;
 use crate::{Connector, Discovery, Leadership, PeerMessage, PrimaryRecord, Promoter, Role, clock};
 use async_executor::LocalExecutor;
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::InstanceId;
-use wasabiyard_platform::{Platform, PlatformError, Precondition};
+use wasabiyard_platform::{Platform, Precondition};
 
 /// Period of checking all primaries.
 const PRIMARY_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -52,6 +52,9 @@
                 let task = async move {
                     if let Err(e) = control.advance(&service).await {
                         log::info!(service:% = service, error:% = e; "primary change failed; retrying");
+                        if e.may_have_missed_record() {
+                            control.read_records().await;
+                        }
                         Timer::after(PRIMARY_CHECK_PERIOD * 2).await;
                     }
                     control.state.borrow_mut().changing_services.remove(&service);
@@ -85,24 +88,30 @@
 
     /// Continues with one service from the state in its primary record: records the initial primary, replaces the
     /// primary if needed, or resumes a replacement that is in progress.
-    async fn advance(&self, service: &Arc<str>) -> Result<(), PlatformError> {
-        let record = self.state.borrow().snapshot.primaries.get(service).cloned();
-        let Some(record) = record else {
-            return self.record_initial_primary(service).await;
+    async fn advance(&self, service: &Arc<str>) -> Result<(), StepError> {
+        let (is_known, stored) = {
+            let state = self.state.borrow();
+            let is_known = state.snapshot.primaries.contains_key(service);
+            (is_known, state.stored_primaries.get(service).cloned())
         };
+        if !is_known {
+            return self.record_initial_primary(service).await;
+        }
+        let base = stored.ok_or(StepError::RecordChanged)?;
+        self.ensure_current(service, &base)?;
         if !self.state.borrow().has_settled(clock::now()) {
             // Instances that the store has forgotten would not be waited for.
             return Ok(());
         }
-        match record.leadership.clone() {
-            Leadership::Serving { primary } => self.replace_if_needed(service, &record, primary).await,
-            Leadership::Moving { from } => self.advance_moving(service, &record, from).await,
-            Leadership::Promoting { from, .. } => self.promote_successor(service, &record, from).await,
+        match base.record.leadership.clone() {
+            Leadership::Serving { primary } => self.replace_if_needed(service, &base, primary).await,
+            Leadership::Moving { from } => self.advance_moving(service, base, from).await,
+            Leadership::Promoting { from, .. } => self.promote_successor(service, base, from).await,
         }
     }
 
     /// Writes the first record of a service. Does nothing unless exactly one backend server is listed as its primary.
-    async fn record_initial_primary(&self, service: &Arc<str>) -> Result<(), PlatformError> {
+    async fn record_initial_primary(&self, service: &Arc<str>) -> Result<(), StepError> {
         let primary = {
             let state = self.state.borrow();
             let mut primaries = state
@@ -125,16 +134,17 @@
             is_term_current: term.is_some(),
             ..PrimaryRecord::first(primary).with_term(term.unwrap_or_default())
         };
-        self.write_record(service, record).await
+        self.write_record(service, Precondition::Absent, record).await?;
+        Ok(())
     }
 
     /// Starts replacing the primary of a service if the failover policy says so and a candidate answers.
     async fn replace_if_needed(
         &self,
         service: &Arc<str>,
-        record: &PrimaryRecord,
+        base: &StoredRecord,
         primary: Arc<str>,
-    ) -> Result<(), PlatformError> {
+    ) -> Result<(), StepError> {
         let now = clock::now();
         let reason = {
             let state = self.state.borrow();
@@ -154,16 +164,10 @@
                     return Ok(());
                 }
                 log::info!(service:% = service, primary:% = primary, reason:? = reason; "replacing primary");
-                let next = record.followed_by(Leadership::Moving { from: primary });
-                self.write_record(service, next).await?;
-                let record = self.state.borrow().snapshot.primaries.get(service).cloned();
-                match record {
-                    Some(record) => match record.leadership.clone() {
-                        Leadership::Moving { from } => self.advance_moving(service, &record, from).await,
-                        _ => Ok(()),
-                    },
-                    None => Ok(()),
-                }
+                let from = Arc::clone(&primary);
+                let next = base.record.followed_by(Leadership::Moving { from });
+                let moving = self.write_following(service, base, next).await?;
+                self.advance_moving(service, moving, primary).await
             }
         }
     }
@@ -188,10 +192,11 @@
     async fn advance_moving(
         &self,
         service: &Arc<str>,
-        record: &PrimaryRecord,
+        base: StoredRecord,
         from: Arc<str>,
-    ) -> Result<(), PlatformError> {
-        self.wait_until_released(service, record, &from).await;
+    ) -> Result<(), StepError> {
+        self.wait_until_released(service, &base.record, &from).await;
+        self.ensure_current(service, &base)?;
         let step = self.old_primary_step(service, &from).await;
         match step {
             OldPrimaryStep::Demote => {}
@@ -201,11 +206,12 @@
             }
             OldPrimaryStep::Resume => {
                 log::info!(service:% = service, server:% = from; "no successor has caught up; using the old primary again");
-                let next = record.followed_by(Leadership::Serving { primary: from });
-                return self.write_record(service, next).await;
+                let next = base.record.followed_by(Leadership::Serving { primary: from });
+                self.write_following(service, &base, next).await?;
+                return Ok(());
             }
         }
-        self.promote_successor(service, record, from).await
+        self.promote_successor(service, base, from).await
     }
 
     /// Sends a primary record to the instances `to`.
@@ -217,48 +223,8 @@
         self.send_to_peers(OutboundMessage::Multicast(to, message));
     }
 
-    fn member_ids(&self) -> Vec<InstanceId> {
+    pub(super) fn member_ids(&self) -> Vec<InstanceId> {
         let state = self.state.borrow();
         state.snapshot.members.iter().map(|m| m.id.clone()).collect()
     }
-
-    /// Writes a primary record and announces it to all members. The write is conditional on the version last read, so
-    /// it fails when another holder of the lease has changed the record.
-    pub(super) async fn write_record(
-        &self,
-        service: &Arc<str>,
-        next: PrimaryRecord,
-    ) -> Result<(), PlatformError> {
-        let (known_epoch, version) = {
-            let state = self.state.borrow();
-            let known = state.snapshot.primaries.get(service);
-            (
-                known.map(|r| r.epoch),
-                state.primary_versions.get(service).copied(),
-            )
-        };
-        let precondition = version.map_or(Precondition::Absent, Precondition::Version);
-        let value = serde_json::json!(next);
-        self.store_calls.on_call(StoreCallKind::Failover);
-        let sent_at = clock::now();
-        let written = self
-            .platform
-            .put(&records::primary_key(service), precondition, &value)
-            .await;
-        log::info!(
-            service:% = service, epoch = next.epoch, leadership:? = next.leadership, known_epoch:? = known_epoch,
-            expected:? = version, result:? = written;
-            "write of a primary record"
-        );
-        let version = written?;
-        {
-            let mut state = self.state.borrow_mut();
-            state.proofs.add(version.0, sent_at);
-            state.primary_versions.insert(Arc::clone(service), version);
-            state.apply_primary_record(Arc::clone(service), next.clone())
-        };
-        self.publish_snapshot();
-        self.announce(service, &next, self.member_ids());
-        Ok(())
-    }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -13,16 +13,19 @@
 mod promotion;
 mod reached_generation;
 mod record_recovery;
+mod record_writes;
 mod records;
 mod registration;
 mod release_wait;
 mod revision_proofs;
 mod server_commands;
 mod state;
+mod step_error;
 mod store_calls;
 mod store_circuit_breaker;
 mod store_generation;
 mod store_reads;
+mod stored_primaries;
 mod successor;
 mod successor_search;
 mod usage_counts_in_store;
@@ -43,6 +46,7 @@
 pub use store_calls::{StoreCallKind, StoreCalls};
 pub use store_circuit_breaker::StoreCircuitBreaker;
 pub use store_generation::StoreGeneration;
+pub use stored_primaries::{StoredPrimaries, StoredRecord};
 pub use successor::{
     AcknowledgedCommits, CandidateStatus, CandidateSurvey, OldPrimaryStep, old_primary_step,
 };
--- a/crates/gateway/src/control/promotion.rs
+++ b/crates/gateway/src/control/promotion.rs
@@ -9,6 +9,8 @@
 use super::failover::only_passes_log_on;
 use super::leadership_task::STEP_POLL_PERIOD;
 use super::server_commands::ServerCommand;
+use super::step_error::StepError;
+use super::stored_primaries::StoredRecord;
 use super::successor::CandidateStatus;
 use super::successor_search::{CATCH_UP_TIMEOUT, Successor};
 use crate::{
@@ -20,7 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use wasabiyard_model::Time;
-use wasabiyard_platform::{Platform, PlatformError};
+use wasabiyard_platform::Platform;
 
 /// Longest wait for a promotion to take effect.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -58,27 +60,29 @@
     pub(super) async fn promote_successor(
         &self,
         service: &Arc<str>,
-        record: &PrimaryRecord,
+        mut base: StoredRecord,
         from: Arc<str>,
-    ) -> Result<(), PlatformError> {
+    ) -> Result<(), StepError> {
         let deadline = clock::now() + CATCH_UP_TIMEOUT;
         let (old_status, survey) = zip(
             self.send_command(service, &from, ServerCommand::Status),
             self.survey_candidates(service, &from, deadline),
         )
         .await;
-        let mut record = record.clone();
         let successor = if survey.answered.is_empty() {
-            self.old_primary_as_successor(service, &record, &from, old_status)
+            self.old_primary_as_successor(service, &base.record, &from, old_status)
         } else {
             let demoted = match old_status {
-                Some(status) => self.demote(service, &from, status).await,
+                Some(status) => {
+                    base = self.settle_before_demotion(service, base).await?;
+                    self.demote(service, &from, status).await
+                }
                 None => None,
             };
             let served_term = demoted.and_then(|d| d.served_term).unwrap_or_default();
-            record = record.clone().with_term(record.term.max(served_term));
+            base.record.term = base.record.term.max(served_term);
             let old_point = demoted.map(|d| d.received);
-            self.await_successor(service, &record, &from, survey, old_point, deadline)
+            self.await_successor(service, &base.record, &from, survey, old_point, deadline)
                 .await
         };
         match successor {
@@ -86,27 +90,39 @@
                 self.pause_looks(service, LOOK_PAUSE);
                 Ok(())
             }
-            Some(Successor::Leads(leader)) => self.use_leader(service, &record, leader).await,
+            Some(Successor::Leads(leader)) => self.use_leader(service, &base, leader).await,
             Some(Successor::Candidate(chosen)) => {
                 let candidate = Arc::clone(&chosen.server);
-                let next = record.promoting(from, candidate, &chosen.status);
-                self.write_record(service, next.clone()).await?;
-                self.order_promotion(service, &next, chosen.server).await
+                let next = base.record.promoting(from, candidate, &chosen.status);
+                let promoting = self.write_following(service, &base, next).await?;
+                self.order_promotion(service, &promoting, chosen.server).await
             }
         }
     }
 
+    /// Checks that `base` is the newest record before the old primary is demoted. Where commits have to survive, the record
+    /// that follows may put the old primary back in use, so no unanswered write of it may be left.
+    async fn settle_before_demotion(
+        &self,
+        service: &Arc<str>,
+        base: StoredRecord,
+    ) -> Result<StoredRecord, StepError> {
+        self.ensure_current(service, &base)?;
+        let may_resume = self.state.borrow().snapshot.sync_replicas(service) > 0;
+        match base.record.leadership {
+            Leadership::Moving { .. } if may_resume => self.settle(service, base).await,
+            _ => Ok(base),
+        }
+    }
+
     /// Records a server that leads already as the primary. One that must not get new work is replaced at once.
     async fn use_leader(
         &self,
         service: &Arc<str>,
-        record: &PrimaryRecord,
+        base: &StoredRecord,
         leader: CandidateStatus,
-    ) -> Result<(), PlatformError> {
-        if self.held_fence().is_none() {
-            // Another holder may have had a server promoted meanwhile.
-            return Ok(());
-        }
+    ) -> Result<(), StepError> {
+        let record = &base.record;
         let CandidateStatus { server, status, .. } = leader;
         log::info!(
             service:% = service, server:% = server, term:% = status.term, after:% = record.term, orders = record.orders;
@@ -117,8 +133,9 @@
         } else {
             Leadership::Moving { from: server }
         };
-        self.write_record(service, record.after_look(leadership, &status))
-            .await
+        let next = record.after_look(leadership, &status);
+        self.write_following(service, base, next).await?;
+        Ok(())
     }
 
     /// Orders the promotion of the candidate, waits until it is the primary, and records it as serving. An order that is
@@ -126,12 +143,12 @@
     async fn order_promotion(
         &self,
         service: &Arc<str>,
-        record: &PrimaryRecord,
+        base: &StoredRecord,
         candidate: Arc<str>,
-    ) -> Result<(), PlatformError> {
-        let Some(fence) = self.held_fence() else {
-            return Ok(());
-        };
+    ) -> Result<(), StepError> {
+        self.ensure_current(service, base)?;
+        let record = &base.record;
+        let fence = self.held_fence().ok_or(StepError::LeaseLost)?;
         let response = self
             .promoter
             .promote(PromotionOrder {
@@ -155,7 +172,7 @@
         let deadline = clock::now() + PROMOTION_TIMEOUT;
         let Some(promoted) = self.await_promotion(service, record, &candidate, deadline).await else {
             return self
-                .after_fruitless_order(service, record, &candidate, response)
+                .after_fruitless_order(service, base, &candidate, response)
                 .await;
         };
         let only_passes_log_on = {
@@ -169,7 +186,8 @@
             Leadership::Serving { primary: candidate }
         };
         let next = record.after_promotion(leadership, &promoted);
-        self.write_record(service, next).await
+        self.write_following(service, base, next).await?;
+        Ok(())
     }
 
     /// After an order without effect, uses the candidate if the order was accepted and changed nothing because the candidate
@@ -177,17 +195,17 @@
     async fn after_fruitless_order(
         &self,
         service: &Arc<str>,
-        record: &PrimaryRecord,
+        base: &StoredRecord,
         candidate: &str,
         response: PromotionResponse,
-    ) -> Result<(), PlatformError> {
+    ) -> Result<(), StepError> {
         if response == PromotionResponse::Accepted {
             let survey = self.survey_all(service).await;
-            if let Some(leader) = survey.leader_despite_order(record, candidate) {
-                return self.use_leader(service, record, leader.clone()).await;
+            if let Some(leader) = survey.leader_despite_order(&base.record, candidate) {
+                return self.use_leader(service, base, leader.clone()).await;
             }
         }
-        self.pause_looks(service, order_pause(record.orders));
+        self.pause_looks(service, order_pause(base.record.orders));
         Ok(())
     }
 
--- a/crates/gateway/src/control/record_recovery.rs
+++ b/crates/gateway/src/control/record_recovery.rs
@@ -5,7 +5,7 @@
 use crate::{ClusterSnapshot, Connector, Discovery, PrimaryRecord, Promoter, Role, clock};
 use async_io::Timer;
 use std::sync::Arc;
-use wasabiyard_platform::Platform;
+use wasabiyard_platform::{Platform, Precondition};
 
 impl<P, D, M, C> ControlThread<P, D, M, C>
 where
@@ -34,12 +34,14 @@
                     epoch: floor + 1,
                     ..restored
                 };
-                (Arc::clone(service), next)
+                let stored = state.stored_primaries.get(service);
+                let precondition = stored.map_or(Precondition::Absent, |s| Precondition::Version(s.version));
+                (Arc::clone(service), precondition, next)
             })
             .collect()
         };
-        for (service, record) in pending {
-            if let Err(e) = self.write_record(&service, record).await {
+        for (service, precondition, record) in pending {
+            if let Err(e) = self.write_record(&service, precondition, record).await {
                 log::info!(service:% = service, error:% = e; "could not write a primary record again");
                 // The next read of the records shows the versions that the store has.
                 Timer::after(RETRY_BACKOFF).await;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -6,6 +6,7 @@
 use super::revision_proofs::RevisionProofs;
 use super::store_circuit_breaker::StoreCircuitBreaker;
 use super::store_generation::StoreGeneration;
+use super::stored_primaries::{StoredPrimaries, StoredRecord};
 use super::view_requests::PendingViewRequests;
 use crate::view::{ViewKey, ViewScope, ViewTable, ViewValue};
 use crate::{BackendServer, ClusterSnapshot, PrimaryRecord};
@@ -20,8 +21,9 @@
     /// [`super::ControlThread::publish_snapshot`].
     pub(super) snapshot: ClusterSnapshot,
     pub(super) failover_lease: FailoverLease,
-    /// Object versions of the primary records by service, for conditional writes.
-    pub(super) primary_versions: HashMap<Arc<str>, Version>,
+    /// The primary records with their object versions, for conditional writes. Those of the snapshot may be newer: they
+    /// may have been announced.
+    pub(super) stored_primaries: StoredPrimaries,
     pub(super) registry: InstanceRegistry,
     pub(super) reachability: ReachabilityReports,
     /// Services for which a task is taking a step, so that no second task starts.
@@ -52,7 +54,7 @@
         Self {
             snapshot: ClusterSnapshot::default(),
             failover_lease: FailoverLease::default(),
-            primary_versions: HashMap::new(),
+            stored_primaries: StoredPrimaries::default(),
             registry: InstanceRegistry::default(),
             reachability: ReachabilityReports::default(),
             changing_services: HashSet::new(),
@@ -105,8 +107,11 @@
         self.observe_generation(now);
         self.failover_lease.on_read(lease, now);
         for (service, version, record) in primaries {
-            let known = self.primary_versions.entry(Arc::clone(&service)).or_default();
-            *known = version.max(*known);
+            let stored = StoredRecord {
+                version,
+                record: record.clone(),
+            };
+            self.stored_primaries.on_read(Arc::clone(&service), stored);
             self.apply_primary_record(service, record);
         }
         self.registry.on_read(members, as_of, now);
@@ -148,7 +153,7 @@
             let generation = self.generation.current().restores();
             log::warn!(generation; "records of a restored store; they prove nothing until they are confirmed");
             self.held_lease_through_restore = self.failover_lease.is_exclusive(now);
-            self.primary_versions.clear();
+            self.stored_primaries.clear();
         }
     }
 
