gateway: use neither of two primary records with one epoch

An instance that met a second record with the epoch of the one that it knew kept the first one for good: instances that had read different ones used different primaries. The conditional writes make this impossible for the product's own writes; another writer, or a store that has lost one, can still cause it.

Change: such an instance takes the primary out of use, logs an error, and reports its record to the holder of the failover lease. The holder, when its known record is not the stored one, reads the records; if the difference remains, it writes a record above both epochs. For one epoch it names no serving primary, so a replacement follows that waits for every instance; a record that the store has lost is written again as it was.

--- a/crates/gateway/src/control/apply_reads.rs
+++ b/crates/gateway/src/control/apply_reads.rs
@@ -97,26 +97,24 @@
             state.snapshot.records_as_of = state.snapshot.records_as_of.max(as_of);
         }
         drop(state);
-        self.report_lost_primary_records();
+        self.report_unstored_primary_records();
         self.publish_snapshot();
         registered
     }
 
-    /// Tells the holder of the failover lease which primary records a restored store has lost.
-    fn report_lost_primary_records(&self) {
-        let (holder, lost) = {
+    /// Tells the holder of the failover lease which primary records a restored store has lost, and which conflict with those
+    /// in the store.
+    pub(super) fn report_unstored_primary_records(&self) {
+        let (holder, unstored) = {
             let state = self.state.borrow();
-            if state.is_confirmed() {
-                return;
-            }
             let holder = state.snapshot.failover_lease_holder.clone();
-            (holder, state.lost_primary_records())
+            (holder, state.unstored_primary_records())
         };
         let own_id = self.settings.instance.id.as_str();
         let Some(holder) = holder.filter(|holder| **holder != *own_id) else {
             return;
         };
-        for (service, record) in lost {
+        for (service, record) in unstored {
             let message = PeerMessage::PrimaryRecordChanged { service, record };
             self.send_to_peers(OutboundMessage::Unicast(InstanceId::from(&*holder), message));
         }
--- a/crates/gateway/src/control/leadership_task.rs
+++ b/crates/gateway/src/control/leadership_task.rs
@@ -89,20 +89,21 @@
     /// Continues with one service from the state in its primary record: records the initial primary, replaces the
     /// primary if needed, or resumes a replacement that is in progress.
     async fn advance(&self, service: &Arc<str>) -> Result<(), StepError> {
-        let (is_known, stored) = {
+        let (known, stored) = {
             let state = self.state.borrow();
-            let is_known = state.snapshot.primaries.contains_key(service);
-            (is_known, state.stored_primaries.get(service).cloned())
+            let known = state.snapshot.primaries.get(service).cloned();
+            (known, state.stored_primaries.get(service).cloned())
         };
-        if !is_known {
+        let Some(known) = known else {
             return self.record_initial_primary(service).await;
-        }
-        let base = stored.ok_or(StepError::RecordChanged)?;
-        self.ensure_current(service, &base)?;
+        };
         if !self.state.borrow().has_settled(clock::now()) {
             // Instances that the store has forgotten would not be waited for.
             return Ok(());
         }
+        let Some(base) = stored.filter(|s| s.record == known) else {
+            return self.reconcile(service).await;
+        };
         match base.record.leadership.clone() {
             Leadership::Serving { primary } => self.replace_if_needed(service, &base, primary).await,
             Leadership::Moving { from } => self.advance_moving(service, base, from).await,
--- a/crates/gateway/src/control/promotion.rs
+++ b/crates/gateway/src/control/promotion.rs
@@ -30,7 +30,7 @@
 const INITIAL_ORDER_PAUSE: Duration = Duration::from_millis(200);
 const MAX_ORDER_PAUSE: Duration = Duration::from_millis(3_200);
 /// Pause after a look that has found no successor. Servers that are down refuse queries at once.
-const LOOK_PAUSE: Duration = Duration::from_millis(200);
+pub(super) const LOOK_PAUSE: Duration = Duration::from_millis(200);
 
 /// Pause after the last of `orders` orders without effect.
 fn order_pause(orders: u32) -> Duration {
@@ -211,7 +211,7 @@
 
     /// Lets the service rest before the next look. No task of it runs meanwhile, so the next one starts from the record that
     /// is known by then.
-    fn pause_looks(&self, service: &Arc<str>, pause: Duration) {
+    pub(super) fn pause_looks(&self, service: &Arc<str>, pause: Duration) {
         let mut state = self.state.borrow_mut();
         state.next_looks.insert(Arc::clone(service), clock::now() + pause);
     }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -190,15 +190,20 @@
         }
     }
 
-    /// Primary records that this instance knows in a later epoch than the store.
-    pub(super) fn lost_primary_records(&self) -> Vec<(Arc<str>, PrimaryRecord)> {
-        let stored = |service| match self.view.value(&ViewKey::Primary(Arc::clone(service))) {
-            Some(ViewValue::Primary(record)) => record.epoch,
-            _ => 0,
-        };
+    /// Primary records of this instance that the store has lost, or that conflict with those in the store. Until a restored
+    /// store is confirmed, a later epoch shows a loss; afterwards it only shows that the view is older.
+    pub(super) fn unstored_primary_records(&self) -> Vec<(Arc<str>, PrimaryRecord)> {
+        let is_confirmed = self.is_confirmed();
+        let is_unstored =
+            |service, known: &PrimaryRecord| match self.view.value(&ViewKey::Primary(Arc::clone(service))) {
+                Some(ViewValue::Primary(stored)) if is_confirmed => known.conflicts_with(stored),
+                Some(ViewValue::Primary(stored)) => known.epoch > stored.epoch,
+                _ => !is_confirmed,
+            };
         let known = self.snapshot.primaries.iter();
-        let lost = known.filter(|(service, record)| record.epoch > stored(service));
-        lost.map(|(service, record)| (Arc::clone(service), record.clone()))
+        let unstored = known.filter(|(service, record)| is_unstored(service, record));
+        unstored
+            .map(|(service, record)| (Arc::clone(service), record.clone()))
             .collect()
     }
 
@@ -208,16 +213,41 @@
         self.snapshot.members = self.registry.live();
     }
 
-    /// Applies a primary record if its epoch is above the known one. Returns whether it was applied.
+    /// Applies a primary record if its epoch is above the known one. If it conflicts with the known one, neither is used
+    /// until a record of a later epoch. Returns whether the known record has changed.
     pub(super) fn apply_primary_record(&mut self, service: Arc<str>, record: PrimaryRecord) -> bool {
-        let known = self.snapshot.primaries.get(&service);
-        if known.is_some_and(|k| k.epoch >= record.epoch) {
-            return false;
+        if let Some(known) = self.snapshot.primaries.get(&service) {
+            if known.conflicts_with(&record) {
+                return self.on_conflicting_record(&service, &record);
+            }
+            if known.epoch >= record.epoch {
+                return false;
+            }
         }
         log::info!(service:% = service, epoch = record.epoch, leadership:? = record.leadership; "primary record");
         self.snapshot.primaries.insert(service, record);
         true
     }
+
+    /// Takes the primary of a service out of use, because another instance may use the one of the conflicting record. Records
+    /// of a restored store prove nothing before they are confirmed. Returns whether the known record has changed.
+    fn on_conflicting_record(&mut self, service: &Arc<str>, conflicting: &PrimaryRecord) -> bool {
+        if !self.is_confirmed() {
+            return false;
+        }
+        let Some(known) = self.snapshot.primaries.get_mut(service) else {
+            return false;
+        };
+        log::error!(
+            service:% = service, epoch = known.epoch, known:? = known.leadership, other:? = conflicting.leadership;
+            "two primary records have the same epoch; neither is used"
+        );
+        let was_in_use = known.serving().is_some();
+        if was_in_use {
+            *known = known.out_of_use();
+        }
+        was_in_use
+    }
 }
 
 fn log_mismatch(key: &ViewKey) {
--- a/crates/gateway/src/control/view_requests.rs
+++ b/crates/gateway/src/control/view_requests.rs
@@ -94,6 +94,7 @@
                 self.apply_view(&changed, ages, sent_at);
                 self.on_configuration_version(configuration, sent_at - ages.configuration)
                     .await;
+                self.report_unstored_primary_records();
                 self.publish_snapshot();
                 return ages.records < MAX_RELAY_DATA_AGE && ages.configuration < MAX_RELAY_DATA_AGE;
             }
--- a/crates/gateway/src/primary_record.rs
+++ b/crates/gateway/src/primary_record.rs
@@ -31,6 +31,16 @@
     },
 }
 
+impl Leadership {
+    /// The primary, or the one that is being replaced.
+    pub const fn last_primary(&self) -> &Arc<str> {
+        match self {
+            Self::Serving { primary } => primary,
+            Self::Moving { from } | Self::Promoting { from, .. } => from,
+        }
+    }
+}
+
 /// Leadership of one service. The epoch rises with each change, so that a message about an older state can be ignored.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrimaryRecord {
@@ -109,6 +119,42 @@
         }
     }
 
+    /// Whether another record has the same epoch and a different content. At most one write succeeds on each version of a
+    /// record, so this takes a writer that does not keep to that, or a store that has lost a write.
+    pub fn conflicts_with(&self, other: &Self) -> bool {
+        self.epoch == other.epoch && self != other
+    }
+
+    /// The same record with no primary in use.
+    #[must_use]
+    pub fn out_of_use(&self) -> Self {
+        let from = Arc::clone(self.leadership.last_primary());
+        Self {
+            leadership: Leadership::Moving { from },
+            ..self.clone()
+        }
+    }
+
+    /// The record that ends a difference between this record, which instances know, and `stored`, the one in the store. Its
+    /// epoch exceeds those of both and `floor`. If both have the same epoch, some instances may use the one and some the
+    /// other, so it takes every primary out of use.
+    #[must_use]
+    pub fn reconciled_with(&self, stored: Option<&Self>, floor: u64) -> Self {
+        let epoch = stored.map_or(0, |s| s.epoch).max(self.epoch).max(floor) + 1;
+        match stored {
+            Some(stored) if stored.epoch >= self.epoch => Self {
+                epoch,
+                term: self.term.max(stored.term),
+                is_term_current: false,
+                ..stored.out_of_use()
+            },
+            _ => Self {
+                epoch,
+                ..self.clone()
+            },
+        }
+    }
+
     fn led_by(&self, leadership: Leadership, term: Term) -> Self {
         Self {
             is_term_current: true,
