gateway: keep a later read of the failover lease over an older answer

A former holder whose renewal was answered late took itself for the holder until its next read, up to the end of its timeout. Seen by reading; no caller has seen it: the timeouts keep two holders apart unless the lease was released or taken by a new process of the same instance.

Change: an answer with an older version than the known one changes nothing.

Measured: a_late_answer_to_a_renewal_does_not_bring_the_lease_back fails before (left: Some(3), right: None) and passes with the change, as do the other tests of the lease.

--- a/crates/gateway/src/control/failover_lease.rs
+++ b/crates/gateway/src/control/failover_lease.rs
@@ -120,8 +120,12 @@
     }
 
     /// Applies a successful write by this process that was sent at `sent`. The holder timeout counts from there,
-    /// because the store may have applied the write at any moment since.
+    /// because the store may have applied the write at any moment since. An answer that comes after the read of a later
+    /// record changes nothing: another process has written the lease since.
     pub fn on_written(&mut self, version: Version, record: FailoverLeaseRecord, sent: Time, now: Time) {
+        if self.record.as_ref().is_some_and(|(known, _)| *known > version) {
+            return;
+        }
         // The answer to the acquisition itself may be lost; the first write that is known to have taken effect then counts.
         if self.acquisition.is_none_or(|a| a.fence != record.fence) {
             let previous = self.record.as_ref().map(|(_, previous)| previous);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -129,6 +129,18 @@
     );
 }
 
+/// The answer to a renewal comes after the read of the record that another holder has written since. Taken for the newest
+/// record, it would let the former holder act beside the new one, until its next read.
+#[test]
+fn a_late_answer_to_a_renewal_does_not_bring_the_lease_back() {
+    let mut lease = FailoverLease::default();
+    lease.on_written(Version(7), lease_record("a", 3), START, START);
+    lease.on_read(Some((Version(9), lease_record("b", 4))), START);
+    lease.on_written(Version(8), lease_record("a", 3), START, START);
+    assert_eq!(lease.held_fence("a", Incarnation(1), START), None);
+    assert_eq!(lease.holder(), Some(&"b".into()));
+}
+
 /// When the answer to an acquisition was lost, its holder never reported usage for as long as it held the lease.
 #[test]
 fn a_holder_whose_acquisition_was_not_answered_may_report_after_a_pause() {
