gateway: check a registry entry again before it is marked

Seen by reading; no caller has seen it. - The holder of the failover lease decides at once which instances are silent and writes the marks one after the other, each for up to 1.2 s. The version of an entry does not change with a heartbeat, so an instance that was heard from meanwhile was marked all the same, and lost its primaries until it had registered again. The last heartbeat and the lease are looked at again before each mark. - A process that ends marks the entry of its id as leaving, on the version last read, also when that entry belongs to its successor. A change of primary then would not wait for the successor. It marks its own entry only.

Measured: the two new tests of register.rs pass; they use functions that did not exist before, so they cannot run on the parent.

--- a/crates/gateway/src/control/failover_lease_loop.rs
+++ b/crates/gateway/src/control/failover_lease_loop.rs
@@ -112,6 +112,11 @@
             (state.registry.newly_silent(now), state.registry.removable(now))
         };
         for (version, marked) in silent {
+            // The writes before may have taken seconds.
+            let is_unheard = self.state.borrow().registry.is_unheard(&marked.id, clock::now());
+            if !is_unheard || self.held_fence().is_none() {
+                continue;
+            }
             self.store_calls.on_call(StoreCallKind::Failover);
             let key = records::instance_key(marked.id.as_str());
             let value = serde_json::json!(marked);
@@ -152,7 +157,7 @@
             let lease = state.failover_lease.record().cloned();
             let own_lease =
                 lease.filter(|(_, r)| *r.holder == *entry.id.as_str() && r.incarnation == entry.incarnation);
-            (own_lease, state.registry.version(&entry.id))
+            (own_lease, state.registry.version_of_process(entry))
         };
         if let Some((version, mut record)) = lease {
             record.released = true;
--- a/crates/gateway/src/control/instance_registry.rs
+++ b/crates/gateway/src/control/instance_registry.rs
@@ -82,6 +82,13 @@
         self.entry_versions.get(id).copied()
     }
 
+    /// The object version of the entry of one process; `None` also when the entry is that of another process with this id.
+    pub fn version_of_process(&self, process: &ListedInstance) -> Option<Version> {
+        let entry = self.entries.get(&process.id)?;
+        let is_own = entry.incarnation == process.incarnation;
+        is_own.then(|| self.version(&process.id)).flatten()
+    }
+
     /// Records the version that the store reported when a conditional write conflicted.
     pub fn on_conflict(&mut self, id: &InstanceId, version: Version) {
         self.entry_versions.insert(id.clone(), version);
@@ -142,10 +149,7 @@
     /// which to write them.
     pub fn newly_silent(&self, now: Time) -> Vec<(Version, ListedInstance)> {
         let live = self.entries.values().filter(|i| i.state == ListedState::Live);
-        let silent = live.filter(|i| {
-            let last_heartbeat = self.last_heartbeat.get(&i.id);
-            last_heartbeat.is_some_and(|at| now.saturating_since(*at) > SILENCE_TIMEOUT)
-        });
+        let silent = live.filter(|i| self.is_unheard(&i.id, now));
         silent
             .filter_map(|i| {
                 let marked = ListedInstance {
@@ -157,6 +161,12 @@
             .collect()
     }
 
+    /// Whether an instance has sent no heartbeat for the timeout at `now`.
+    pub fn is_unheard(&self, id: &InstanceId, now: Time) -> bool {
+        let last_heartbeat = self.last_heartbeat.get(id);
+        last_heartbeat.is_some_and(|at| now.saturating_since(*at) > SILENCE_TIMEOUT)
+    }
+
     /// Entries that may be deleted because their instances can no longer use any primary.
     pub fn removable(&self, now: Time) -> Vec<(Version, InstanceId)> {
         let removable = self.entries.values().filter(|i| !self.may_use_primaries(i, now));
--- a/crates/gateway/tests/register.rs
+++ b/crates/gateway/tests/register.rs
@@ -108,6 +108,37 @@
     assert_eq!(registry.live().len(), 2);
 }
 
+/// The marks of other instances are written in between and may take seconds: an instance that is heard from meanwhile would be
+/// marked all the same, and could use no primary until it has registered again.
+#[test]
+fn an_instance_that_is_heard_from_before_its_mark_is_written_stays_live() {
+    let mut registry = InstanceRegistry::default();
+    let listed = [entry("a", 1, ListedState::Live), entry("b", 2, ListedState::Live)];
+    registry.on_read(listed, START, START);
+    let late = START + Duration::from_secs(9);
+    assert_eq!(registry.newly_silent(late).len(), 2);
+    registry.on_heartbeat(&InstanceId::from("b"), late);
+    assert!(registry.is_unheard(&InstanceId::from("a"), late));
+    assert!(!registry.is_unheard(&InstanceId::from("b"), late));
+}
+
+/// A process that ends after its successor has registered would mark the successor as leaving. A change of primary would not wait
+/// for that one, which may still use the old primary.
+#[test]
+fn a_process_does_not_mark_the_entry_of_its_successor() {
+    let mut registry = InstanceRegistry::default();
+    let (version, former) = entry("a", 1, ListedState::Live);
+    registry.on_read([(version, former.clone())], START, START);
+    assert_eq!(registry.version_of_process(&former), Some(version));
+    let successor = ListedInstance {
+        incarnation: Incarnation(2),
+        ..former.clone()
+    };
+    registry.on_read([(Version(3), successor.clone())], START, START);
+    assert_eq!(registry.version_of_process(&former), None);
+    assert_eq!(registry.version_of_process(&successor), Some(Version(3)));
+}
+
 /// Heartbeats go to the holder of the failover lease only, so a new holder has received none. If it marked all others
 /// as silent, no instance could use a primary until it has registered again.
 #[test]
