gateway: settle a record before each demotion that is sent

A record is written once more before a demotion unless this process knows that no write on it is unanswered. That was done for a record without a candidate and services with sync_replicas only, but an unanswered write may put the old primary back in use from any record: when it alone answers, it is its own successor. If that write took effect after the demotion, callers would be refused until the recorded primary is found to be a replica. Seen by reading; no run shows it, since the next write follows within 0.5 s. Now it is done whenever a demotion is sent, that is while the old primary answers as a primary.

Measured: late_records, succession and restored_store pass (17 tests).

--- a/crates/gateway/src/control/promotion.rs
+++ b/crates/gateway/src/control/promotion.rs
@@ -74,7 +74,10 @@
         } else {
             let demoted = match old_status {
                 Some(status) => {
-                    base = self.settle_before_demotion(service, base).await?;
+                    self.ensure_current(service, &base)?;
+                    if status.primary {
+                        base = self.settle(service, base).await?;
+                    }
                     self.demote(service, &from, status).await
                 }
                 None => None,
@@ -100,21 +103,6 @@
         }
     }
 
-    /// Checks that `base` is the newest record before the old primary is demoted. Where commits have to survive, the record
-    /// that follows may put the old primary back in use, so no unanswered write of it may be left.
-    async fn settle_before_demotion(
-        &self,
-        service: &Arc<str>,
-        base: StoredRecord,
-    ) -> Result<StoredRecord, StepError> {
-        self.ensure_current(service, &base)?;
-        let may_resume = self.state.borrow().snapshot.sync_replicas(service) > 0;
-        match base.record.leadership {
-            Leadership::Moving { .. } if may_resume => self.settle(service, base).await,
-            _ => Ok(base),
-        }
-    }
-
     /// Records a server that leads already as the primary. One that must not get new work is replaced at once.
     async fn use_leader(
         &self,
--- a/crates/gateway/src/control/record_writes.rs
+++ b/crates/gateway/src/control/record_writes.rs
@@ -55,8 +55,8 @@
     }
 
     /// Makes sure that no unanswered write can replace `base` any more: writes the same state once more unless this
-    /// process knows that all is answered. What the next step does to backend servers cannot be taken back if another
-    /// record takes effect after it.
+    /// process knows that all is answered. Due before a demotion, which cannot be taken back if a record that puts the
+    /// old primary back in use takes effect after it.
     pub(super) async fn settle(
         &self,
         service: &Arc<str>,
