gateway: decide on each record after a restore right before its write

What another instance reported meanwhile, a later change of primary that the store has lost, was overwritten by the older decision. Seen by reading. Each is decided right before its write now, while the lease is held.

--- a/crates/gateway/src/control/record_recovery.rs
+++ b/crates/gateway/src/control/record_recovery.rs
@@ -56,30 +56,18 @@
     /// Writes the primary records again that a restored store may have lost. Their epochs exceed all that the store has
     /// forgotten.
     pub(super) async fn rewrite_primary_records(&self) {
-        let now = clock::now();
-        let pending: Vec<_> = {
-            let state = self.state.borrow();
-            if !state.knows_primaries(now) {
+        if !self.state.borrow().knows_primaries(clock::now()) {
+            return;
+        }
+        let services: Vec<_> = self.state.borrow().snapshot.primaries.keys().cloned().collect();
+        for service in services {
+            if self.held_fence().is_none() {
                 return;
             }
-            let floor = state.generation.current().counter_floor();
-            let primaries = state.snapshot.primaries.iter();
-            let old = primaries.filter(|(service, record)| {
-                record.epoch <= floor && !state.changing_services.contains(*service)
-            });
-            old.map(|(service, record)| {
-                let restored = record_after_restore(&state.snapshot, service, record);
-                let next = PrimaryRecord {
-                    epoch: floor + 1,
-                    ..restored
-                };
-                let precondition = precondition_on(state.stored_primaries.get(service));
-                (Arc::clone(service), precondition, next)
-            })
-            .collect()
-        };
-        for (service, precondition, record) in pending {
-            if let Err(e) = self.write_record(&service, precondition, record).await {
+            let Some((precondition, next)) = self.record_to_rewrite(&service) else {
+                continue;
+            };
+            if let Err(e) = self.write_record(&service, precondition, next).await {
                 log::info!(service:% = service, error:% = e; "could not write a primary record again");
                 // The next read of the records shows the versions that the store has.
                 Timer::after(RETRY_BACKOFF).await;
@@ -87,6 +75,23 @@
             }
         }
     }
+
+    /// The record of a service to write again, and the condition of the write; `None` if it has been written or a task
+    /// changes it. Decided right before each write: the one before may have taken long, and instances report records
+    /// meanwhile.
+    fn record_to_rewrite(&self, service: &Arc<str>) -> Option<(Precondition, PrimaryRecord)> {
+        let state = self.state.borrow();
+        let known = state.snapshot.primaries.get(service)?;
+        let floor = state.generation.current().counter_floor();
+        if known.epoch > floor || state.changing_services.contains(service) {
+            return None;
+        }
+        let next = PrimaryRecord {
+            epoch: floor + 1,
+            ..record_after_restore(&state.snapshot, service, known)
+        };
+        Some((precondition_on(state.stored_primaries.get(service)), next))
+    }
 }
 
 /// The condition of a write that replaces what was read last.
